--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,16 @@
+// Command simhost puts the decision module on the bench's wire: standard input to standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"pepperlead/internal/simwire"
+)
+
+func main() {
+	if err := simwire.Run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,860 @@
+// Package policy decides where tickets go and what becomes of them.
+//
+// How it is called: New starts an instance; List, ListFailed, Admit then Begin, PushEnded, ClientLeft
+// and Woken hand it what happened, each with the time. It answers only through the Front given to New,
+// within the call. The interface, the ids and what is read at start are in types.go; the reasons for
+// each rule below are in docs/design.md. An instance is used by one goroutine and shares nothing.
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	slotsPerServer = 100         // the design's figure, at least
+	leastSlots     = 2048        // so that fleets of up to 20 agree on the table's size
+	layoutSeed     = 0x70657070  // fixed: every sidecar lays out the same table
+	holdTime       = 30 * Second // a server listed gone keeps its slots this long
+	inRow          = 3           // failures in a row that set a server aside
+	skipFirst      = 2 * Second  // first time aside; doubled on each relapse
+	skipMost       = 16 * Second // longest time aside
+	spillMargin    = 2           // free places, or fewer of our pushes, that a spill must find
+	firstLimit     = 4           // pushes out to a server of which nothing is known yet
+	roomy, crowded = 0.5, 0.75   // mean answer time over quoted time: more may go out, less must
+	shortOfHit     = 0.25        // a cold server does up to four times the work: it remembers no keys
+	pushCredit     = 0.1         // further pushes earned by each honoured ticket
+	pushCreditMost = 20          // further pushes that may be saved up
+	rateSpan       = 3 * Second  // memory of the rate meters
+	dearCrossing   = 0.05        // price from which a crossing outweighs a split cache
+	repeatValue    = 0.5         // a client's repeat has used up part of its quoted time
+	firstWait      = 0.6         // part of the quoted time that a first push may take
+	sweepTicks     = 2           // ticks between looks at waiting tickets
+)
+
+// chance is a multiply-with-carry generator.
+type chance struct{ x, carry uint32 }
+
+func newChance(seed uint64) chance {
+	return chance{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
+}
+
+func (c *chance) next() uint32 {
+	v := uint64(c.x)*4294957665 + uint64(c.carry)
+	c.x, c.carry = uint32(v), uint32(v>>32)
+	return c.x
+}
+
+// part is a fraction from 0 up to 1.
+func (c *chance) part() float64 { return float64(c.next()) / (1 << 32) }
+
+// meter is a rate a second that forgets over rateSpan.
+type meter struct {
+	rate float64
+	at   Time
+}
+
+func (m *meter) now(now Time) float64 {
+	if now > m.at {
+		m.rate *= math.Exp(-float64(now-m.at) / float64(rateSpan))
+		m.at = now
+	}
+	return m.rate
+}
+
+func (m *meter) count(now Time) { m.rate = m.now(now) + float64(Second)/float64(rateSpan) }
+
+type server struct {
+	Member
+	inTable       bool
+	slots, target int
+	leftAt        Time // when it was heard to be gone
+	seen          uint32
+	out           int
+	waiting       int     // tickets waiting for it
+	limit         float64 // pushes that may be out to it
+	eager         bool    // limit not yet cut: grow by one an answer
+	ratio         float64 // mean of answer time over quoted time
+	cutAt         Time
+	row           int    // failures in a row
+	rowKey        uint64 // key of the last of them
+	asideTill     Time
+	skip          Time
+	trickle       int // pushes allowed out on return; 0 when in full use
+	served        meter
+	budget        float64 // pushes saved up while cold
+	budgetAt      Time
+}
+
+// news is the result of a step, handed to what the step left as next.
+type news struct {
+	now     Time
+	outcome Outcome
+	server  int32
+	push    PushNo
+	spent   Time
+}
+
+type ticket struct {
+	generation uint32
+	place      uint32
+	inUse      bool
+	answered   bool
+	queued     bool
+	repeat     bool
+	mayHaveRun bool
+	offering   OfferingID
+	key        uint64
+	slot       int
+	home       int32 // server it waits for
+	arrived    Time
+	cutOff     Time
+	waitTill   Time
+	value      float64
+	pushes     int
+	out        int
+	sentAt     Time
+	ranAt      Time  // sending of the first push that may have run
+	ranOn      int32 // its server
+	tried      [8]int32
+	next       func(*Balancer, *ticket, news)
+}
+
+// Balancer is one instance of the module.
+type Balancer struct {
+	front    Front
+	campaign *Campaign
+	chance   chance
+	table    []int32 // slot to place in servers
+	order    []int32 // seeded order of the slots
+	servers  []server
+	places   map[ServerID]int32
+	members  []Member // scratch
+	epoch    uint32
+	ring     int // next slot for tickets without a key
+	slab     []ticket
+	free     []uint32
+	inHand   int
+	queue    []uint32  // places of waiting tickets, oldest first
+	usual    []float64 // mean answer time by offering, ns
+	use      []meter   // arrivals by franchise
+	arrivals meter
+	pushes   float64 // further pushes saved up
+	sweeping bool
+	askAt    Time // when to ask for the list; 0: following it
+	askWait  Time
+	turnedAt Time // last turn-back for want of room
+	short    bool
+	nearOne  bool
+}
+
+// New starts an instance.
+func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
+	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
+		usual: make([]float64, len(c.Offerings)), use: make([]meter, len(c.Franchises)),
+		pushes: pushCreditMost / 2, nearOne: c.CrossPrice >= dearCrossing}
+	for i, o := range c.Offerings {
+		b.usual[i] = float64(o.Quoted) / 4
+	}
+	if c.MustAsk {
+		// All sidecars may start at one time; asking at once would swamp the list's service.
+		b.askAt = now + Time(b.chance.part()*float64(c.MustAskIn)/20) + 1
+		b.wake()
+	}
+	return b
+}
+
+// ---- the list and the table ----
+
+// List applies what the list says.
+func (b *Balancer) List(now Time, kind ListKind, members []Member) {
+	if b.campaign.MustAsk && kind != ListSaved {
+		b.askAt, b.askWait = 0, 0
+	}
+	b.members = append(b.members[:0], members...)
+	slices.SortFunc(b.members, func(x, y Member) int { return cmp.Compare(x.ID, y.ID) })
+	b.epoch++
+	for _, m := range b.members {
+		b.heard(now, m)
+	}
+	if kind != ListChanges {
+		for i := range b.servers {
+			if s := &b.servers[i]; s.seen != b.epoch && s.Standing != Gone {
+				s.Standing, s.leftAt = Gone, now
+			}
+		}
+	}
+	b.dropGone(now)
+	b.drain(now)
+	b.wake()
+}
+
+func (b *Balancer) heard(now Time, m Member) {
+	if !b.campaign.Weighted || m.Weight <= 0 {
+		m.Weight = 1
+	}
+	p, known := b.places[m.ID]
+	if !known {
+		if m.Standing == Gone {
+			return
+		}
+		p = int32(len(b.servers))
+		b.places[m.ID] = p
+		b.servers = append(b.servers, server{Member: m, seen: b.epoch, limit: firstLimit, eager: true,
+			budgetAt: now})
+		b.join(p)
+		return
+	}
+	s := &b.servers[p]
+	s.seen = b.epoch
+	reweighed := s.inTable && s.Weight != m.Weight
+	if m.Standing == Gone && s.Standing != Gone {
+		s.leftAt = now
+	}
+	if m.Started > s.Started {
+		// A restarted server is cold and knows no keys; what was learned of it is void.
+		s.limit, s.eager, s.ratio, s.row, s.trickle, s.asideTill, s.skip = firstLimit, true, 0, 0, 0, 0, 0
+		s.budget, s.budgetAt = 0, now
+	}
+	s.Member = m
+	if !s.inTable && m.Standing != Gone {
+		b.join(p)
+	} else if reweighed {
+		b.deal(-1, -1)
+	}
+}
+
+// dropGone takes the slots from servers that have been gone for the hold time.
+func (b *Balancer) dropGone(now Time) {
+	for i := range b.servers {
+		s := &b.servers[i]
+		if s.Standing != Gone || !s.inTable || now-s.leftAt < holdTime {
+			continue
+		}
+		// An empty list is more likely a fault of the list than the end of the fleet.
+		if slices.ContainsFunc(b.servers, func(o server) bool { return o.inTable && o.Standing != Gone }) {
+			s.inTable = false
+			b.deal(int32(i), -1)
+		}
+	}
+}
+
+func (b *Balancer) join(p int32) {
+	if b.table == nil {
+		size := leastSlots
+		for size < slotsPerServer*len(b.members) {
+			size *= 2
+		}
+		b.table, b.order = make([]int32, size), make([]int32, size)
+		for i := range b.table {
+			b.table[i], b.order[i] = -1, int32(i)
+		}
+		layout := newChance(layoutSeed)
+		for i := size - 1; i > 0; i-- {
+			j := int(uint64(layout.next()) * uint64(i+1) >> 32)
+			b.order[i], b.order[j] = b.order[j], b.order[i]
+		}
+	}
+	b.servers[p].inTable = true
+	b.deal(-1, p)
+}
+
+// deal sets the shares and moves slots: a leaver's in table order, any surplus in seeded order to the
+// joiner, or else to the server furthest below its share, ties by id.
+func (b *Balancer) deal(leaver, joiner int32) {
+	total, left := 0.0, len(b.table)
+	var ranked []*server
+	for i := range b.servers {
+		if s := &b.servers[i]; s.inTable {
+			total += s.Weight
+			ranked = append(ranked, s)
+		}
+	}
+	share := func(s *server) float64 { return float64(len(b.table)) * s.Weight / total }
+	for _, s := range ranked {
+		s.target = int(share(s))
+		left -= s.target
+	}
+	slices.SortFunc(ranked, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(share(y)-float64(y.target), share(x)-float64(x.target)), cmp.Compare(x.ID, y.ID))
+	})
+	for i := 0; i < left; i++ {
+		ranked[i%len(ranked)].target++
+	}
+	for i := range b.table {
+		slot := b.order[i]
+		if leaver >= 0 {
+			slot = int32(i)
+		}
+		owner := b.table[slot]
+		if owner >= 0 && owner != leaver && (leaver >= 0 || b.servers[owner].slots <= b.servers[owner].target) {
+			continue
+		}
+		to := joiner
+		if joiner < 0 {
+			to = b.furthestBelow()
+		} else if b.servers[joiner].slots >= b.servers[joiner].target {
+			break
+		}
+		if owner >= 0 {
+			b.servers[owner].slots--
+		}
+		b.servers[to].slots++
+		b.table[slot] = to
+	}
+}
+
+func (b *Balancer) furthestBelow() int32 {
+	best := int32(-1)
+	for i := range b.servers {
+		s := &b.servers[i]
+		if !s.inTable {
+			continue
+		}
+		if best >= 0 {
+			o := &b.servers[best]
+			if c := cmp.Compare(s.target-s.slots, o.target-o.slots); c < 0 || c == 0 && s.ID > o.ID {
+				continue
+			}
+		}
+		best = int32(i)
+	}
+	return best
+}
+
+// ListFailed is told when asking failed or following broke.
+func (b *Balancer) ListFailed(now Time) {
+	// Re-asking in step would keep the list's service swamped: each wait is doubled and spread.
+	b.askWait = min(max(2*b.askWait, Second/4), b.campaign.MustAskIn/4)
+	b.askAt = now + Time(float64(b.askWait)*(0.5+b.chance.part()))
+	b.front.Log(fmt.Sprintf("list: failed, asking again in %dms", (b.askAt-now)/Millisecond))
+	b.wake()
+}
+
+// ---- tickets ----
+
+// Admit takes a ticket in hand; Begin must follow.
+func (b *Balancer) Admit(now Time, o OfferingID, f FranchiseID, key string, repeat bool, left Time) Handle {
+	if len(b.free) == 0 {
+		b.slab = append(b.slab, ticket{})
+		b.free = append(b.free, uint32(len(b.slab)-1))
+	}
+	place := b.free[len(b.free)-1]
+	b.free = b.free[:len(b.free)-1]
+	t := &b.slab[place]
+	*t = ticket{generation: t.generation + 1, place: place, inUse: true, offering: o, repeat: repeat, home: -1,
+		arrived: now, cutOff: now + left, ranOn: -1}
+	b.inHand++
+	if len(b.table) > 0 {
+		if key == "" {
+			b.ring = (b.ring + 1) % len(b.table)
+			t.slot = b.ring
+		} else {
+			t.key = xxhash.Sum64String(key)
+			t.slot = int(t.key % uint64(len(b.table)))
+		}
+	}
+	t.value = b.worth(now, t, f)
+	return t.handle()
+}
+
+// worth is the credit expected for each second that a server works on the ticket.
+func (b *Balancer) worth(now Time, t *ticket, f FranchiseID) float64 {
+	v := b.campaign.Offerings[t.offering].Credit / b.usual[t.offering]
+	if t.repeat {
+		v *= repeatValue
+	}
+	b.arrivals.count(now)
+	if f >= 0 {
+		b.use[f].count(now)
+		total := 0.0
+		for _, o := range b.campaign.Franchises {
+			total += o.Quota
+		}
+		// Others' traffic is unseen: our part of the quotas is taken to be our part of the whole traffic,
+		// and no less than an equal part.
+		part := min(1, max(1/float64(b.campaign.Sidecars), b.arrivals.rate/total))
+		if b.use[f].rate > 1.1*part*b.campaign.Franchises[f].Quota {
+			v *= max(b.campaign.BeyondCredit, 0.01)
+		}
+	}
+	return v
+}
+
+func (b *Balancer) held(h Handle) *ticket {
+	if h.Place() >= len(b.slab) {
+		return nil
+	}
+	if t := &b.slab[h.Place()]; t.inUse && t.generation == uint32(h>>32) {
+		return t
+	}
+	return nil
+}
+
+func (t *ticket) handle() Handle { return Handle(uint64(t.generation)<<32 | uint64(t.place)) }
+
+// Begin decides the first step of a ticket.
+func (b *Balancer) Begin(now Time, h Handle) {
+	if t := b.held(h); t != nil {
+		o := &b.campaign.Offerings[t.offering]
+		t.waitTill = min(t.arrived+o.Quoted-Time(b.usual[t.offering]), t.cutOff-b.margin())
+		b.place(now, t)
+		b.wake()
+	}
+}
+
+func (b *Balancer) margin() Time { return (sweepTicks + 1) * b.campaign.Tick }
+
+// place pushes the ticket, lets it wait, or answers it.
+func (b *Balancer) place(now Time, t *ticket) {
+	if now >= t.cutOff-b.margin() {
+		b.refuse(now, t)
+		return
+	}
+	if to := b.choose(now, t); to >= 0 {
+		b.push(now, t, to)
+		return
+	}
+	if t.waitTill <= now {
+		b.refuse(now, t)
+		return
+	}
+	b.enqueue(now, t)
+}
+
+// enqueue lets the ticket wait for its home, unless the wait would end in no answer.
+func (b *Balancer) enqueue(now Time, t *ticket) {
+	room, waiting := 2.0, 0
+	if t.home >= 0 {
+		s := &b.servers[t.home]
+		room = max(room, s.served.now(now)*float64(t.waitTill-now)/float64(Second)*0.5)
+		waiting = s.waiting
+	}
+	if float64(waiting) >= room {
+		worst, value := -1, t.value
+		for i, place := range b.queue {
+			if o := &b.slab[place]; o.home == t.home && o.value < value {
+				worst, value = i, o.value
+			}
+		}
+		if worst < 0 {
+			b.refuse(now, t)
+			return
+		}
+		place := b.queue[worst]
+		b.unqueue(worst)
+		b.refuse(now, &b.slab[place])
+	}
+	t.queued, t.next = true, (*Balancer).called
+	if t.home >= 0 {
+		b.servers[t.home].waiting++
+	}
+	b.queue = append(b.queue, t.place)
+}
+
+func (b *Balancer) unqueue(i int) {
+	t := &b.slab[b.queue[i]]
+	t.queued = false
+	if t.home >= 0 {
+		b.servers[t.home].waiting--
+	}
+	b.queue = slices.Delete(b.queue, i, i+1)
+}
+
+// called is the step of a waiting ticket: a server has room for it.
+func (b *Balancer) called(t *ticket, n news) {
+	b.push(n.now, t, n.server)
+}
+
+func (b *Balancer) push(now Time, t *ticket, to int32) {
+	s := &b.servers[to]
+	o := &b.campaign.Offerings[t.offering]
+	wait := t.cutOff - b.margin() - now
+	// A silent server must not hold a ticket that could still be honoured elsewhere; the saved pushes
+	// keep time-outs from feeding an overload.
+	if t.pushes+1 < b.campaign.MaxPushes && b.pushes >= 1 && o.Repeats != AtMostOnce && !o.Streamed {
+		wait = min(wait, max(Time(firstWait*float64(o.Quoted)), Time(3*b.usual[t.offering])))
+	}
+	if b.cold(now, s) {
+		s.budget--
+	}
+	t.tried[t.pushes%len(t.tried)] = to
+	t.pushes++
+	t.out++
+	t.sentAt = now
+	s.out++
+	t.next = (*Balancer).pushed
+	b.front.Push(t.handle(), s.ID, wait)
+}
+
+// PushEnded hands over how a push ended. over is true when nothing more is owed for the ticket.
+func (b *Balancer) PushEnded(now Time, h Handle, n PushNo, id ServerID, o Outcome, spent Time, over bool) {
+	p, known := b.places[id]
+	t := b.held(h)
+	if t == nil || !known || t.out == 0 {
+		return
+	}
+	t.out--
+	b.servers[p].out--
+	b.judge(now, t, p, o, spent)
+	if over && !t.answered {
+		t.answered = true
+	}
+	if t.answered {
+		t.next = (*Balancer).settled
+	}
+	t.next(b, t, news{now, o, p, n, spent})
+	b.letGo(t)
+	b.drain(now)
+}
+
+func (b *Balancer) settled(*ticket, news) {}
+
+// pushed is the step of an open ticket whose push has ended.
+func (b *Balancer) pushed(t *ticket, n news) {
+	if n.outcome == Honoured {
+		t.answered = true
+		b.front.Honour(t.handle(), n.push)
+		return
+	}
+	switch n.outcome {
+	case Errored, TimedOut, ConnBroke, CalledOff:
+		if !t.mayHaveRun {
+			t.mayHaveRun, t.ranAt, t.ranOn = true, t.sentAt, n.server
+		}
+	case NotSent:
+		b.refuse(n.now, t)
+		return
+	}
+	o := &b.campaign.Offerings[t.offering]
+	spent := t.mayHaveRun || n.outcome == TurnedAway
+	late := n.now > t.arrived+o.Quoted && o.LateCredit == 0
+	if t.pushes >= b.campaign.MaxPushes || late || spent && b.pushes < 1 {
+		b.refuse(n.now, t)
+		return
+	}
+	if spent {
+		// Further pushes are earned by honoured ones, so that failures cannot feed an overload.
+		b.pushes--
+	}
+	b.place(n.now, t)
+}
+
+// refuse answers at once: turned back where the client may safely come again, else given up.
+func (b *Balancer) refuse(now Time, t *ticket) {
+	o := &b.campaign.Offerings[t.offering]
+	t.answered = true
+	t.next = (*Balancer).settled
+	if !t.mayHaveRun && t.out == 0 || o.Repeats == Reissuable || o.Repeats == Numbered && o.Group == GroupAll {
+		if !b.short {
+			b.front.Log(fmt.Sprintf("short of room: turning back, %d in hand, %d waiting", b.inHand, len(b.queue)))
+		}
+		b.short, b.turnedAt = true, now
+		b.front.TurnBack(t.handle(), min(b.campaign.Advice, o.Quoted))
+	} else {
+		b.front.GiveUp(t.handle())
+	}
+	b.letGo(t)
+}
+
+// letGo frees the place of a ticket that is answered and has no push out.
+func (b *Balancer) letGo(t *ticket) {
+	if t.inUse && t.answered && t.out == 0 && !t.queued {
+		t.inUse = false
+		b.inHand--
+		b.free = append(b.free, t.place)
+	}
+}
+
+// ClientLeft is told when a ticket is over because its client left.
+func (b *Balancer) ClientLeft(now Time, h Handle) {
+	t := b.held(h)
+	if t == nil || t.answered {
+		return
+	}
+	if i := slices.Index(b.queue, t.place); i >= 0 {
+		b.unqueue(i)
+	}
+	t.answered = true
+	b.callOff(t)
+	b.letGo(t)
+}
+
+func (b *Balancer) callOff(t *ticket) {
+	if t.out > 0 && b.campaign.MayCancel {
+		b.front.Cancel(t.handle(), PushNo(t.pushes-1))
+	}
+}
+
+// ---- choosing a server ----
+
+// choose walks the table from the ticket's slot. The first usable server is its home; it spills further
+// only when home has no room. -1: wait for home.
+func (b *Balancer) choose(now Time, t *ticket) int32 {
+	t.home = -1
+	if len(b.table) == 0 {
+		return -1
+	}
+	b.epoch++
+	pass := 1
+	if b.nearOne {
+		pass = 0
+	}
+	for ; pass < 3; pass++ {
+		if pass == 2 {
+			// With every server set aside, pushing is better than certain failure.
+			if t.home >= 0 {
+				break
+			}
+			b.epoch++
+		}
+		for i, seen := 0, 0; i < len(b.table) && seen < len(b.servers); i++ {
+			p := b.table[(t.slot+i)%len(b.table)]
+			s := &b.servers[p]
+			if s.seen == b.epoch || pass == 0 && s.Zone != b.campaign.Zone {
+				continue
+			}
+			s.seen = b.epoch
+			seen++
+			if !b.allowed(now, t, p) || !b.usable(now, s) && (pass < 2 || b.cold(now, s)) {
+				continue
+			}
+			if t.home < 0 {
+				t.home = p
+				if b.room(s) {
+					return p
+				}
+				continue
+			}
+			if b.room(s) && b.spills(t.home, s) {
+				return p
+			}
+		}
+	}
+	return -1
+}
+
+func (b *Balancer) room(s *server) bool { return float64(s.out) < s.limit }
+
+// spills: home is at its limit; the other must hold less by the margin, or have that many places free.
+func (b *Balancer) spills(home int32, s *server) bool {
+	return b.servers[home].out-s.out >= spillMargin || float64(s.out+spillMargin) <= s.limit
+}
+
+// allowed keeps the second rule: where a ticket that may have run can go; and sends no ticket twice
+// to one server while another may do.
+func (b *Balancer) allowed(now Time, t *ticket, p int32) bool {
+	s := &b.servers[p]
+	if s.Standing != Ready {
+		return false
+	}
+	o := &b.campaign.Offerings[t.offering]
+	if t.mayHaveRun && o.Repeats != Reissuable {
+		ran := &b.servers[t.ranOn]
+		if o.Repeats == AtMostOnce || now+b.margin() >= t.ranAt+o.Window ||
+			o.Group == GroupZone && ran.Zone != s.Zone || o.Group == GroupCell && ran.Cell != s.Cell {
+			return false
+		}
+	}
+	for i := 0; i < min(t.pushes, len(t.tried)); i++ {
+		if t.tried[i] == p {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Balancer) usable(now Time, s *server) bool {
+	if now < s.asideTill || s.trickle > 0 && s.out >= s.trickle {
+		return false
+	}
+	if b.cold(now, s) {
+		b.save(now, s)
+		return s.budget >= 1
+	}
+	return true
+}
+
+func (b *Balancer) cold(now Time, s *server) bool {
+	return s.Started > 0 && now < s.Started+b.campaign.ColdTime
+}
+
+// save lets a cold server's budget grow by what it is sure to carry. Every sidecar allows it the same
+// part of what its own pushes to warm servers show them to bear, so that all parts together stay within
+// the multiple without any sidecar knowing of another. Unremembered keys are counted at their full work.
+func (b *Balancer) save(now Time, s *server) {
+	c := b.campaign
+	rate, warm := 0.0, 0.0
+	for i := range b.servers {
+		if o := &b.servers[i]; o.Standing == Ready && !b.cold(now, o) {
+			rate += o.served.now(now)
+			warm += o.Weight
+		}
+	}
+	share := c.ColdShare + (1-c.ColdShare)*float64(now-s.Started)/float64(c.ColdTime)
+	grow := 0.25 / float64(c.Sidecars) // one push in four seconds from all together, where nothing is known
+	if warm > 0 {
+		grow = max(grow, c.FallMultiple*share*shortOfHit*rate*s.Weight/warm)
+	}
+	s.budget = min(1, s.budget+grow*float64(now-s.budgetAt)/float64(Second))
+	s.budgetAt = now
+}
+
+// drain gives freed places to waiting tickets: those of home first, then the dearest, then the oldest.
+func (b *Balancer) drain(now Time) {
+	for again := true; again && len(b.queue) > 0; {
+		again = false
+		for p := range b.servers {
+			s := &b.servers[p]
+			if !b.room(s) || s.Standing != Ready || !b.usable(now, s) {
+				continue
+			}
+			best, score := -1, 0.0
+			for i, place := range b.queue {
+				t := &b.slab[place]
+				v := t.value
+				if t.home == int32(p) {
+					v *= 1e6
+				} else if t.home >= 0 && !b.spills(t.home, s) {
+					continue
+				}
+				if v > score && b.allowed(now, t, int32(p)) {
+					best, score = i, v
+				}
+			}
+			if best >= 0 {
+				t := &b.slab[b.queue[best]]
+				b.unqueue(best)
+				t.next(b, t, news{now: now, server: int32(p)})
+				again = true
+			}
+		}
+	}
+}
+
+// ---- health and load ----
+
+// judge learns from an outcome: an honoured push ends a row of failures; an error, a time-out, a broken
+// or failed connection adds to it; turned away says only that the server is full.
+func (b *Balancer) judge(now Time, t *ticket, p int32, o Outcome, spent Time) {
+	s := &b.servers[p]
+	switch o {
+	case Honoured:
+		b.good(now, t, s, spent)
+	case TurnedAway:
+		b.cut(now, s, 0.7)
+	case Errored, ConnBroke, TimedOut, NotConnected:
+		if o == TimedOut {
+			s.ratio += 0.2 * (max(1, float64(spent)/float64(b.campaign.Offerings[t.offering].Quoted)) - s.ratio)
+		}
+		b.cut(now, s, 0.7)
+		b.bad(now, t, s, o)
+	}
+}
+
+func (b *Balancer) good(now Time, t *ticket, s *server, spent Time) {
+	s.row, s.skip = 0, 0
+	s.served.count(now)
+	b.pushes = min(pushCreditMost, b.pushes+pushCredit)
+	b.usual[t.offering] += 0.05 * (float64(spent) - b.usual[t.offering])
+	s.ratio += 0.2 * (float64(spent)/float64(b.campaign.Offerings[t.offering].Quoted) - s.ratio)
+	if s.trickle > 0 {
+		if s.trickle *= 2; float64(s.trickle) >= s.limit {
+			s.trickle = 0
+			b.front.Log(fmt.Sprintf("server %d: back in full use", s.ID))
+		}
+	}
+	switch {
+	case s.ratio > crowded:
+		b.cut(now, s, 0.8)
+	case s.ratio < roomy && float64(s.out+2) >= s.limit:
+		if s.eager {
+			s.limit++
+		} else {
+			s.limit += 1 / s.limit
+		}
+	}
+}
+
+// cut lowers a server's limit, once for each time its answers take.
+func (b *Balancer) cut(now Time, s *server, to float64) {
+	if now-s.cutAt < 200*Millisecond {
+		return
+	}
+	s.cutAt, s.eager = now, false
+	s.limit = max(1, s.limit*to)
+}
+
+func (b *Balancer) bad(now Time, t *ticket, s *server, o Outcome) {
+	// A ticket that fails wherever it goes, under one key or on a further push, says little of the server.
+	if o != NotConnected && (t.pushes > 1 || s.row > 0 && t.key != 0 && t.key == s.rowKey) {
+		return
+	}
+	s.row++
+	s.rowKey = t.key
+	if s.row < inRow && s.trickle == 0 || now < s.asideTill {
+		return
+	}
+	aside := 0
+	for i := range b.servers {
+		if now < b.servers[i].asideTill && b.servers[i].Standing == Ready {
+			aside++
+		}
+	}
+	// When most servers look bad at once the cause is shared, and moving their work makes it worse.
+	if o != NotConnected && 2*(aside+1) > len(b.servers) {
+		return
+	}
+	s.skip = min(max(2*s.skip, skipFirst), skipMost)
+	s.asideTill, s.trickle = now+s.skip, 1
+	b.front.Log(fmt.Sprintf("server %d: aside %dms, %d failures in a row, last %d", s.ID,
+		s.skip/Millisecond, s.row, o))
+}
+
+// ---- time ----
+
+func (b *Balancer) wake() {
+	if !b.sweeping && (b.inHand > 0 || b.askAt > 0) {
+		b.sweeping = true
+		b.front.Wake(sweepTicks * b.campaign.Tick)
+	}
+}
+
+// Woken answers tickets whose time is up, lets waiting ones go on and asks for the list.
+func (b *Balancer) Woken(now Time) {
+	b.sweeping = false
+	if b.askAt > 0 && now >= b.askAt {
+		b.askAt = 0
+		b.front.FollowList(true)
+	}
+	b.dropGone(now)
+	for place := range b.slab {
+		t := &b.slab[place]
+		if !t.inUse || t.answered {
+			continue
+		}
+		over := now >= t.cutOff-b.margin()
+		if !over && (!t.queued || now < t.waitTill) {
+			continue
+		}
+		if t.queued {
+			b.unqueue(slices.Index(b.queue, uint32(place)))
+			b.refuse(now, t)
+			continue
+		}
+		// A time-out that never came must not leave the client without an answer.
+		t.mayHaveRun = true
+		b.callOff(t)
+		b.refuse(now, t)
+	}
+	b.drain(now)
+	if b.short && now-b.turnedAt > Second {
+		b.short = false
+		b.front.Log("room again: no turn-back for a second")
+	}
+	b.wake()
+}
