Let first pushes wait 1.25 of the quoted time before a further push

Cause: the module's own time-outs at 0.6 of the quoted time threw away work nearly done and set servers aside.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	rateSpan       = 3 * Second  // memory of the rate meters
 	dearCrossing   = 0.05        // price from which a crossing outweighs a split cache
 	repeatValue    = 0.5         // a client's repeat has used up part of its quoted time
-	firstWait      = 0.6         // part of the quoted time that a first push may take
+	firstWait      = 1.25        // part of the quoted time that a first push may take
 	sweepTicks     = 2           // ticks between looks at waiting tickets
 )
 
@@ -477,7 +477,7 @@
 	// A silent server must not hold a ticket that could still be honoured elsewhere; the saved pushes
 	// keep time-outs from feeding an overload.
 	if t.pushes+1 < b.campaign.MaxPushes && b.pushes >= 1 && o.Repeats != AtMostOnce && !o.Streamed {
-		wait = min(wait, max(Time(firstWait*float64(o.Quoted)), Time(3*b.usual[t.offering])))
+		wait = min(wait, max(Time(firstWait*float64(o.Quoted)), Time(6*b.usual[t.offering])))
 	}
 	if b.cold(now, s) {
 		s.budget--
