Set limits by answer times beyond the unloaded time; move state types out

Cause: one bound for all offerings was too low where unloaded answers take long and too high where they are short. The unloaded time is followed from below.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,7 @@
 	skipMost       = 16 * Second // longest time aside
 	spillMargin    = 2           // free places, or fewer of our pushes, that a spill must find
 	firstLimit     = 4           // pushes out to a server of which nothing is known yet
-	roomy, crowded = 0.3, 0.5    // mean answer time over quoted time: more may go out, less must
+	roomy, crowded = 0.2, 0.4    // mean answer time over quoted time, beyond the unloaded: more may go out, less must
 	shortOfHit     = 0.25        // a cold server does up to four times the work: it remembers no keys
 	pushCredit     = 0.1         // further pushes earned by each honoured ticket
 	pushCreditMost = 20          // further pushes that may be saved up
@@ -68,95 +68,11 @@
 
 func (m *meter) count(now Time) { m.rate = m.now(now) + float64(Second)/float64(rateSpan) }
 
-type server struct {
-	Member
-	inTable       bool
-	slots, target int
-	leftAt        Time // when it was heard to be gone
-	seen          uint32
-	out           int
-	waiting       int     // tickets waiting for it
-	limit         float64 // pushes that may be out to it
-	eager         bool    // limit not yet cut: grow by one an answer
-	ratio         float64 // mean of answer time over quoted time
-	cutAt         Time
-	row           int    // failures in a row
-	rowKey        uint64 // key of the last of them
-	asideTill     Time
-	skip          Time
-	trickle       int // pushes allowed out on return; 0 when in full use
-	served        meter
-	budget        float64 // pushes saved up while cold
-	budgetAt      Time
-}
-
-// news is the result of a step, handed to what the step left as next.
-type news struct {
-	now     Time
-	outcome Outcome
-	server  int32
-	push    PushNo
-	spent   Time
-}
-
-type ticket struct {
-	generation uint32
-	place      uint32
-	inUse      bool
-	answered   bool
-	queued     bool
-	repeat     bool
-	mayHaveRun bool
-	offering   OfferingID
-	key        uint64
-	slot       int
-	home       int32 // server it waits for
-	arrived    Time
-	cutOff     Time
-	waitTill   Time
-	value      float64
-	pushes     int
-	out        int
-	sentAt     Time
-	ranAt      Time  // sending of the first push that may have run
-	ranOn      int32 // its server
-	tried      [8]int32
-	next       func(*Balancer, *ticket, news)
-}
-
-// Balancer is one instance of the module.
-type Balancer struct {
-	front    Front
-	campaign *Campaign
-	chance   chance
-	table    []int32 // slot to place in servers
-	order    []int32 // seeded order of the slots
-	servers  []server
-	places   map[ServerID]int32
-	members  []Member // scratch
-	epoch    uint32
-	ring     int // next slot for tickets without a key
-	slab     []ticket
-	free     []uint32
-	inHand   int
-	queue    []uint32  // places of waiting tickets, oldest first
-	usual    []float64 // mean answer time by offering, ns
-	use      []meter   // arrivals by franchise
-	arrivals meter
-	pushes   float64 // further pushes saved up
-	sweeping bool
-	askAt    Time // when to ask for the list; 0: following it
-	askWait  Time
-	turnedAt Time // last turn-back for want of room
-	short    bool
-	nearOne  bool
-}
-
 // New starts an instance.
 func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
 		usual: make([]float64, len(c.Offerings)), use: make([]meter, len(c.Franchises)),
-		pushes: pushCreditMost / 2, nearOne: c.CrossPrice >= dearCrossing}
+		pushes: pushCreditMost / 2, calm: 0.25, nearOne: c.CrossPrice >= dearCrossing}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
 	}
@@ -768,10 +684,16 @@
 			b.front.Log(fmt.Sprintf("server %d: back in full use", s.ID))
 		}
 	}
-	switch {
-	case s.ratio > crowded:
+	// The unloaded answer time is followed from below, so that a long overload is not taken for it.
+	if s.ratio < b.calm {
+		b.calm += 0.05 * (s.ratio - b.calm)
+	} else {
+		b.calm += 0.0005 * (s.ratio - b.calm)
+	}
+	switch load := (s.ratio - b.calm) / max(0.2, 1-b.calm); {
+	case load > crowded:
 		b.cut(now, s, 0.8)
-	case s.ratio < roomy && float64(s.out+2) >= s.limit:
+	case load < roomy && float64(s.out+2) >= s.limit:
 		if s.eager {
 			s.limit++
 		} else {
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,88 @@
+package policy
+
+// The state that policy.go decides on.
+
+type server struct {
+	Member
+	inTable       bool
+	slots, target int
+	leftAt        Time // when it was heard to be gone
+	seen          uint32
+	out           int
+	waiting       int     // tickets waiting for it
+	limit         float64 // pushes that may be out to it
+	eager         bool    // limit not yet cut: grow by one an answer
+	ratio         float64 // mean of answer time over quoted time
+	cutAt         Time
+	row           int    // failures in a row
+	rowKey        uint64 // key of the last of them
+	asideTill     Time
+	skip          Time
+	trickle       int // pushes allowed out on return; 0 when in full use
+	served        meter
+	budget        float64 // pushes saved up while cold
+	budgetAt      Time
+}
+
+// news is the result of a step, handed to what the step left as next.
+type news struct {
+	now     Time
+	outcome Outcome
+	server  int32
+	push    PushNo
+	spent   Time
+}
+
+type ticket struct {
+	generation uint32
+	place      uint32
+	inUse      bool
+	answered   bool
+	queued     bool
+	repeat     bool
+	mayHaveRun bool
+	offering   OfferingID
+	key        uint64
+	slot       int
+	home       int32 // server it waits for
+	arrived    Time
+	cutOff     Time
+	waitTill   Time
+	value      float64
+	pushes     int
+	out        int
+	sentAt     Time
+	ranAt      Time  // sending of the first push that may have run
+	ranOn      int32 // its server
+	tried      [8]int32
+	next       func(*Balancer, *ticket, news)
+}
+
+// Balancer is one instance of the module.
+type Balancer struct {
+	front    Front
+	campaign *Campaign
+	chance   chance
+	table    []int32 // slot to place in servers
+	order    []int32 // seeded order of the slots
+	servers  []server
+	places   map[ServerID]int32
+	members  []Member // scratch
+	epoch    uint32
+	ring     int // next slot for tickets without a key
+	slab     []ticket
+	free     []uint32
+	inHand   int
+	queue    []uint32  // places of waiting tickets, oldest first
+	calm     float64   // unloaded answer time over quoted time
+	usual    []float64 // mean answer time by offering, ns
+	use      []meter   // arrivals by franchise
+	arrivals meter
+	pushes   float64 // further pushes saved up
+	sweeping bool
+	askAt    Time // when to ask for the list; 0: following it
+	askWait  Time
+	turnedAt Time // last turn-back for want of room
+	short    bool
+	nearOne  bool
+}
