--- a/policy/policy.go
+++ b/policy/policy.go
@@ -694,7 +694,7 @@
 	case load > crowded:
 		b.cut(now, s, 0.8)
 	case load < roomy && float64(s.out+2) >= s.limit:
-		if s.eager {
+		if s.eager || load < roomy/2 {
 			s.limit++
 		} else {
 			s.limit += 1 / s.limit
