--- a/policy/policy.go
+++ b/policy/policy.go
@@ -120,7 +120,7 @@
 		}
 		p = int32(len(b.servers))
 		b.places[m.ID] = p
-		b.servers = append(b.servers, server{Member: m, seen: b.epoch, limit: firstLimit, eager: true,
+		b.servers = append(b.servers, server{Member: m, seen: b.epoch, limit: firstLimit,
 			budgetAt: now})
 		b.join(p)
 		return
@@ -133,7 +133,7 @@
 	}
 	if m.Started > s.Started {
 		// A restarted server is cold and knows no keys; what was learned of it is void.
-		s.limit, s.eager, s.ratio, s.row, s.trickle, s.asideTill, s.skip = firstLimit, true, 0, 0, 0, 0, 0
+		s.limit, s.ratio, s.row, s.trickle, s.asideTill, s.skip = firstLimit, 0, 0, 0, 0, 0
 		s.budget, s.budgetAt = 0, now
 	}
 	s.Member = m
@@ -694,11 +694,7 @@
 	case load > crowded:
 		b.cut(now, s, 0.8)
 	case load < roomy && float64(s.out+2) >= s.limit:
-		if s.eager || load < roomy/2 {
-			s.limit++
-		} else {
-			s.limit += 1 / s.limit
-		}
+		s.limit += 1 / s.limit
 	}
 }
 
@@ -707,7 +703,7 @@
 	if now-s.cutAt < 200*Millisecond {
 		return
 	}
-	s.cutAt, s.eager = now, false
+	s.cutAt = now
 	s.limit = max(1, s.limit*to)
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -11,7 +11,6 @@
 	out           int
 	waiting       int     // tickets waiting for it
 	limit         float64 // pushes that may be out to it
-	eager         bool    // limit not yet cut: grow by one an answer
 	ratio         float64 // mean of answer time over quoted time
 	cutAt         Time
 	row           int    // failures in a row
