--- a/policy/policy.go
+++ b/policy/policy.go
@@ -531,7 +531,7 @@
 		for i, seen := 0, 0; i < len(b.table) && seen < len(b.servers); i++ {
 			p := b.table[(t.slot+i)%len(b.table)]
 			s := &b.servers[p]
-			if s.seen == b.epoch || pass == 0 && s.Zone != b.campaign.Zone {
+			if s.seen == b.epoch || pass == 0 && (s.Zone != b.campaign.Zone || b.load(s) > roomy) {
 				continue
 			}
 			s.seen = b.epoch
@@ -690,7 +690,7 @@
 	} else {
 		b.calm += 0.0005 * (s.ratio - b.calm)
 	}
-	switch load := (s.ratio - b.calm) / max(0.2, 1-b.calm); {
+	switch load := b.load(s); {
 	case load > crowded:
 		b.cut(now, s, 0.8)
 	case load < roomy && float64(s.out+2) >= s.limit:
@@ -698,6 +698,9 @@
 	}
 }
 
+// load is how far a server's answer times are from the unloaded (0) to the quoted time (1).
+func (b *Balancer) load(s *server) float64 { return (s.ratio - b.calm) / max(0.2, 1-b.calm) }
+
 // cut lowers a server's limit, once for each time its answers take.
 func (b *Balancer) cut(now Time, s *server, to float64) {
 	if now-s.cutAt < 200*Millisecond {
