--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,24 +16,26 @@
 )
 
 const (
-	slotsPerServer = 100         // the design's figure, at least
-	leastSlots     = 2048        // so that fleets of up to 20 agree on the table's size
-	layoutSeed     = 0x70657070  // fixed: every sidecar lays out the same table
-	holdTime       = 30 * Second // a server listed gone keeps its slots this long
-	inRow          = 3           // failures in a row that set a server aside
-	skipFirst      = 2 * Second  // first time aside; doubled on each relapse
-	skipMost       = 16 * Second // longest time aside
-	spillMargin    = 2           // free places, or fewer of our pushes, that a spill must find
-	firstLimit     = 4           // pushes out to a server of which nothing is known yet
-	roomy, crowded = 0.2, 0.4    // mean answer time over quoted time, beyond the unloaded: more may go out, less must
-	shortOfHit     = 0.25        // a cold server does up to four times the work: it remembers no keys
-	pushCredit     = 0.1         // further pushes earned by each honoured ticket
-	pushCreditMost = 20          // further pushes that may be saved up
-	rateSpan       = 3 * Second  // memory of the rate meters
-	dearCrossing   = 0.05        // price from which a crossing outweighs a split cache
-	repeatValue    = 0.5         // a client's repeat has used up part of its quoted time
-	firstWait      = 1.25        // part of the quoted time that a first push may take
-	sweepTicks     = 2           // ticks between looks at waiting tickets
+	slotsPerServer     = 100         // the design's figure, at least
+	leastSlots         = 2048        // so that fleets of up to 20 agree on the table's size
+	layoutSeed         = 0x70657070  // fixed: every sidecar lays out the same table
+	holdTime           = 30 * Second // a server listed gone keeps its slots this long
+	inRow              = 3           // failures in a row that set a server aside
+	skipFirst          = 2 * Second  // first time aside; doubled on each relapse
+	skipMost           = 16 * Second // longest time aside
+	spillMargin        = 2           // free places, or fewer of our pushes, that a spill must find
+	firstLimit         = 4           // pushes out to a server of which nothing is known yet
+	roomy, crowded     = 0.2, 0.4    // mean answer time over quoted time, beyond the unloaded: more may go out, less must
+	shortOfHit         = 0.25        // a cold server does up to four times the work: it remembers no keys
+	pushCredit         = 0.1         // further pushes earned by each honoured ticket
+	pushCreditMost     = 20          // further pushes that may be saved up
+	rateSpan           = 3 * Second  // memory of the rate meters
+	leanEvery          = Second / 4
+	leanAway, leanBack = 0.15, 0.05 // load of near servers beyond far ones' at which fewer, more keys stay near
+	dearCrossing       = 0.05       // price from which a crossing outweighs a split cache
+	repeatValue        = 0.5        // a client's repeat has used up part of its quoted time
+	firstWait          = 1.25       // part of the quoted time that a first push may take
+	sweepTicks         = 2          // ticks between looks at waiting tickets
 )
 
 // chance is a multiply-with-carry generator.
@@ -72,10 +74,13 @@
 func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
 		usual: make([]float64, len(c.Offerings)), use: make([]meter, len(c.Franchises)),
-		pushes: pushCreditMost / 2, calm: 0.25, nearOne: c.CrossPrice >= dearCrossing}
+		pushes: pushCreditMost / 2, calm: 0.25}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
 	}
+	if c.CrossPrice >= dearCrossing {
+		b.nearPart, b.nearAt = 1, now
+	}
 	if c.MustAsk {
 		// All sidecars may start at one time; asking at once would swamp the list's service.
 		b.askAt = now + Time(b.chance.part()*float64(c.MustAskIn)/20) + 1
@@ -517,7 +522,7 @@
 	}
 	b.epoch++
 	pass := 1
-	if b.nearOne {
+	if float64(t.key>>44)/(1<<20) < b.nearPart {
 		pass = 0
 	}
 	for ; pass < 3; pass++ {
@@ -531,7 +536,7 @@
 		for i, seen := 0, 0; i < len(b.table) && seen < len(b.servers); i++ {
 			p := b.table[(t.slot+i)%len(b.table)]
 			s := &b.servers[p]
-			if s.seen == b.epoch || pass == 0 && (s.Zone != b.campaign.Zone || b.load(s) > roomy) {
+			if s.seen == b.epoch || pass == 0 && s.Zone != b.campaign.Zone {
 				continue
 			}
 			s.seen = b.epoch
@@ -736,6 +741,34 @@
 		s.skip/Millisecond, s.row, o))
 }
 
+// lean sets the part of the keys that look for a near server first. It falls while near servers are more
+// loaded than far ones, and does so by key, so that each key stays with one server and caches do not split.
+func (b *Balancer) lean(now Time) {
+	if b.campaign.CrossPrice < dearCrossing || now-b.nearAt < leanEvery {
+		return
+	}
+	b.nearAt = now
+	var load, count [2]float64
+	for i := range b.servers {
+		if s := &b.servers[i]; s.Standing == Ready && now >= s.asideTill {
+			side := 0
+			if s.Zone == b.campaign.Zone {
+				side = 1
+			}
+			load[side] += b.load(s)
+			count[side]++
+		}
+	}
+	if count[0] > 0 && count[1] > 0 {
+		switch excess := load[1]/count[1] - load[0]/count[0]; {
+		case excess > leanAway:
+			b.nearPart = max(0, b.nearPart-0.05)
+		case excess < leanBack:
+			b.nearPart = min(1, b.nearPart+0.01)
+		}
+	}
+}
+
 // ---- time ----
 
 func (b *Balancer) wake() {
@@ -753,6 +786,7 @@
 		b.front.FollowList(true)
 	}
 	b.dropGone(now)
+	b.lean(now)
 	for place := range b.slab {
 		t := &b.slab[place]
 		if !t.inUse || t.answered {
--- a/policy/state.go
+++ b/policy/state.go
@@ -83,5 +83,6 @@
 	askWait  Time
 	turnedAt Time // last turn-back for want of room
 	short    bool
-	nearOne  bool
+	nearPart float64 // part of the keys that look for a near server first
+	nearAt   Time
 }
