--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	rateSpan           = 3 * Second  // memory of the rate meters
 	leanEvery          = Second / 4
 	leanAway, leanBack = 0.15, 0.05 // load of near servers beyond far ones' at which fewer, more keys stay near
-	dearCrossing       = 0.05       // price from which a crossing outweighs a split cache
+	dearCrossing       = 0.02       // price from which a crossing outweighs a split cache
 	repeatValue        = 0.5        // a client's repeat has used up part of its quoted time
 	firstWait          = 1.25       // part of the quoted time that a first push may take
 	sweepTicks         = 2          // ticks between looks at waiting tickets
