--- a/policy/policy.go
+++ b/policy/policy.go
@@ -110,7 +110,7 @@
 		}
 	}
 	b.dropGone(now)
-	b.drain(now)
+	b.drainAll(now)
 	b.wake()
 }
 
@@ -227,6 +227,15 @@
 		b.servers[to].slots++
 		b.table[slot] = to
 	}
+	b.owners, b.nearOwners = 0, 0
+	for _, s := range ranked {
+		if s.slots > 0 {
+			b.owners++
+			if s.Zone == b.campaign.Zone {
+				b.nearOwners++
+			}
+		}
+	}
 }
 
 func (b *Balancer) furthestBelow() int32 {
@@ -430,7 +439,7 @@
 	}
 	t.next(b, t, news{now, o, p, n, spent})
 	b.letGo(t)
-	b.drain(now)
+	b.drain(now, p)
 }
 
 func (b *Balancer) settled(*ticket, news) {}
@@ -521,7 +530,7 @@
 		return -1
 	}
 	b.epoch++
-	pass := 1
+	pass, seen := 1, 0
 	if float64(t.key>>44)/(1<<20) < b.nearPart {
 		pass = 0
 	}
@@ -532,8 +541,13 @@
 				break
 			}
 			b.epoch++
+			seen = 0
 		}
-		for i, seen := 0, 0; i < len(b.table) && seen < len(b.servers); i++ {
+		want := b.owners
+		if pass == 0 {
+			want = b.nearOwners
+		}
+		for i := 0; i < len(b.table) && seen < want; i++ {
 			p := b.table[(t.slot+i)%len(b.table)]
 			s := &b.servers[p]
 			if s.seen == b.epoch || pass == 0 && s.Zone != b.campaign.Zone {
@@ -625,35 +639,37 @@
 	s.budgetAt = now
 }
 
-// drain gives freed places to waiting tickets: those of home first, then the dearest, then the oldest.
-func (b *Balancer) drain(now Time) {
-	for again := true; again && len(b.queue) > 0; {
-		again = false
-		for p := range b.servers {
-			s := &b.servers[p]
-			if !b.room(s) || s.Standing != Ready || !b.usable(now, s) {
+// drainAll gives every server's free places to waiting tickets.
+func (b *Balancer) drainAll(now Time) {
+	for p := range b.servers {
+		b.drain(now, int32(p))
+	}
+}
+
+// drain gives a server's free places to waiting tickets: those it is home to first, then the dearest,
+// then the oldest.
+func (b *Balancer) drain(now Time, p int32) {
+	s := &b.servers[p]
+	for len(b.queue) > 0 && b.room(s) && s.Standing == Ready && b.usable(now, s) {
+		best, score := -1, 0.0
+		for i, place := range b.queue {
+			t := &b.slab[place]
+			v := t.value
+			if t.home == p {
+				v *= 1e6
+			} else if t.home >= 0 && !b.spills(t.home, s) {
 				continue
 			}
-			best, score := -1, 0.0
-			for i, place := range b.queue {
-				t := &b.slab[place]
-				v := t.value
-				if t.home == int32(p) {
-					v *= 1e6
-				} else if t.home >= 0 && !b.spills(t.home, s) {
-					continue
-				}
-				if v > score && b.allowed(now, t, int32(p)) {
-					best, score = i, v
-				}
-			}
-			if best >= 0 {
-				t := &b.slab[b.queue[best]]
-				b.unqueue(best)
-				t.next(b, t, news{now: now, server: int32(p)})
-				again = true
+			if v > score && b.allowed(now, t, p) {
+				best, score = i, v
 			}
 		}
+		if best < 0 {
+			return
+		}
+		t := &b.slab[b.queue[best]]
+		b.unqueue(best)
+		t.next(b, t, news{now: now, server: p})
 	}
 }
 
@@ -806,7 +822,7 @@
 		b.callOff(t)
 		b.refuse(now, t)
 	}
-	b.drain(now)
+	b.drainAll(now)
 	if b.short && now-b.turnedAt > Second {
 		b.short = false
 		b.front.Log("room again: no turn-back for a second")
--- a/policy/state.go
+++ b/policy/state.go
@@ -59,30 +59,32 @@
 
 // Balancer is one instance of the module.
 type Balancer struct {
-	front    Front
-	campaign *Campaign
-	chance   chance
-	table    []int32 // slot to place in servers
-	order    []int32 // seeded order of the slots
-	servers  []server
-	places   map[ServerID]int32
-	members  []Member // scratch
-	epoch    uint32
-	ring     int // next slot for tickets without a key
-	slab     []ticket
-	free     []uint32
-	inHand   int
-	queue    []uint32  // places of waiting tickets, oldest first
-	calm     float64   // unloaded answer time over quoted time
-	usual    []float64 // mean answer time by offering, ns
-	use      []meter   // arrivals by franchise
-	arrivals meter
-	pushes   float64 // further pushes saved up
-	sweeping bool
-	askAt    Time // when to ask for the list; 0: following it
-	askWait  Time
-	turnedAt Time // last turn-back for want of room
-	short    bool
-	nearPart float64 // part of the keys that look for a near server first
-	nearAt   Time
+	front      Front
+	campaign   *Campaign
+	chance     chance
+	table      []int32 // slot to place in servers
+	order      []int32 // seeded order of the slots
+	servers    []server
+	places     map[ServerID]int32
+	members    []Member // scratch
+	owners     int      // servers with slots
+	nearOwners int      // of these, in this zone
+	epoch      uint32
+	ring       int // next slot for tickets without a key
+	slab       []ticket
+	free       []uint32
+	inHand     int
+	queue      []uint32  // places of waiting tickets, oldest first
+	calm       float64   // unloaded answer time over quoted time
+	usual      []float64 // mean answer time by offering, ns
+	use        []meter   // arrivals by franchise
+	arrivals   meter
+	pushes     float64 // further pushes saved up
+	sweeping   bool
+	askAt      Time // when to ask for the list; 0: following it
+	askWait    Time
+	turnedAt   Time // last turn-back for want of room
+	short      bool
+	nearPart   float64 // part of the keys that look for a near server first
+	nearAt     Time
 }
