--- a/policy/policy.go
+++ b/policy/policy.go
@@ -777,7 +777,7 @@
 	}
 	if count[0] > 0 && count[1] > 0 {
 		switch excess := load[1]/count[1] - load[0]/count[0]; {
-		case excess > leanAway:
+		case excess > leanAway, load[1]/count[1] > roomy:
 			b.nearPart = max(0, b.nearPart-0.05)
 		case excess < leanBack:
 			b.nearPart = min(1, b.nearPart+0.01)
