--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	pushCredit         = 0.1         // further pushes earned by each honoured ticket
 	pushCreditMost     = 20          // further pushes that may be saved up
 	rateSpan           = 3 * Second  // memory of the rate meters
+	splitWorth         = 5           // load, for each unit of the price, past which shared caches are worth the crossing
 	leanEvery          = Second / 4
 	leanAway, leanBack = 0.15, 0.05 // load of near servers beyond far ones' at which fewer, more keys stay near
 	dearCrossing       = 0.02       // price from which a crossing outweighs a split cache
@@ -777,7 +778,7 @@
 	}
 	if count[0] > 0 && count[1] > 0 {
 		switch excess := load[1]/count[1] - load[0]/count[0]; {
-		case excess > leanAway, load[1]/count[1] > roomy:
+		case excess > leanAway, load[1]/count[1] > splitWorth*b.campaign.CrossPrice:
 			b.nearPart = max(0, b.nearPart-0.05)
 		case excess < leanBack:
 			b.nearPart = min(1, b.nearPart+0.01)
