--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,12 +26,11 @@
 	spillMargin        = 2           // free places, or fewer of our pushes, that a spill must find
 	firstLimit         = 4           // pushes out to a server of which nothing is known yet
 	roomy, crowded     = 0.2, 0.4    // mean answer time over quoted time, beyond the unloaded: more may go out, less must
-	borneSpan          = 60 * Second
-	shortOfHit         = 0.25       // a cold server does up to four times the work: it remembers no keys
-	pushCredit         = 0.1        // further pushes earned by each honoured ticket
-	pushCreditMost     = 20         // further pushes that may be saved up
-	rateSpan           = 3 * Second // memory of the rate meters
-	splitWorth         = 5          // load, for each unit of the price, past which shared caches are worth the crossing
+	shortOfHit         = 0.25        // a cold server does up to four times the work: it remembers no keys
+	pushCredit         = 0.1         // further pushes earned by each honoured ticket
+	pushCreditMost     = 20          // further pushes that may be saved up
+	rateSpan           = 3 * Second  // memory of the rate meters
+	splitWorth         = 5           // load, for each unit of the price, past which shared caches are worth the crossing
 	leanEvery          = Second / 4
 	leanAway, leanBack = 0.15, 0.05 // load of near servers beyond far ones' at which fewer, more keys stay near
 	dearCrossing       = 0.02       // price from which a crossing outweighs a split cache
@@ -625,8 +624,18 @@
 // the multiple without any sidecar knowing of another. Unremembered keys are counted at their full work.
 func (b *Balancer) save(now Time, s *server) {
 	c := b.campaign
+	rate, warm := 0.0, 0.0
+	for i := range b.servers {
+		if o := &b.servers[i]; o.Standing == Ready && !b.cold(now, o) {
+			rate += o.served.now(now)
+			warm += o.Weight
+		}
+	}
 	share := c.ColdShare + (1-c.ColdShare)*float64(now-s.Started)/float64(c.ColdTime)
-	grow := 0.25/float64(c.Sidecars) + c.FallMultiple*share*shortOfHit*b.borne*s.Weight
+	grow := 0.25 / float64(c.Sidecars) // one push in four seconds from all together, where nothing is known
+	if warm > 0 {
+		grow = max(grow, c.FallMultiple*share*shortOfHit*rate*s.Weight/warm)
+	}
 	s.budget = min(1, s.budget+grow*float64(now-s.budgetAt)/float64(Second))
 	s.budgetAt = now
 }
@@ -777,23 +786,6 @@
 	}
 }
 
-// bear remembers the most that our pushes showed a warm server to bear, by weight. What is borne now may be
-// far less than servers can do: those that are left may be slow, or this sidecar new.
-func (b *Balancer) bear(now Time) {
-	rate, warm := 0.0, 0.0
-	for i := range b.servers {
-		if s := &b.servers[i]; s.Standing == Ready && !b.cold(now, s) {
-			rate += s.served.now(now)
-			warm += s.Weight
-		}
-	}
-	b.borne *= math.Exp(-float64(now-b.borneAt) / float64(borneSpan))
-	b.borneAt = now
-	if warm > 0 {
-		b.borne = max(b.borne, rate/warm)
-	}
-}
-
 // ---- time ----
 
 func (b *Balancer) wake() {
@@ -811,9 +803,6 @@
 		b.front.FollowList(true)
 	}
 	b.dropGone(now)
-	if now-b.borneAt > Second/4 {
-		b.bear(now)
-	}
 	b.lean(now)
 	for place := range b.slab {
 		t := &b.slab[place]
--- a/policy/state.go
+++ b/policy/state.go
@@ -85,8 +85,6 @@
 	askWait    Time
 	turnedAt   Time // last turn-back for want of room
 	short      bool
-	borne      float64 // most pushes a second and weight that a warm server was seen to bear
-	borneAt    Time
 	nearPart   float64 // part of the keys that look for a near server first
 	nearAt     Time
 }
