--- a/policy/state.go
+++ b/policy/state.go
@@ -15,6 +15,7 @@
 	cutAt         Time
 	row           int    // failures in a row
 	rowKey        uint64 // key of the last of them
+	heardAt       Time   // last answer, or first push after none was out
 	asideTill     Time
 	skip          Time
 	trickle       int // pushes allowed out on return; 0 when in full use
