--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,7 +31,7 @@
 	pushCreditMost     = 20          // further pushes that may be saved up
 	rateSpan           = 3 * Second  // memory of the rate meters
 	splitWorth         = 5           // load, for each unit of the price, past which shared caches are worth the crossing
-	silence            = 2           // mean answer times without a word after which a server gets nothing more
+	silence            = 0.5         // part of the longest quoted time without a word after which a server gets nothing more
 	leanEvery          = Second / 4
 	leanAway, leanBack = 0.15, 0.05 // load of near servers beyond far ones' at which fewer, more keys stay near
 	dearCrossing       = 0.02       // price from which a crossing outweighs a split cache
@@ -79,6 +79,7 @@
 		pushes: pushCreditMost / 2, calm: 0.25}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
+		b.longest = max(b.longest, o.Quoted)
 	}
 	if c.CrossPrice >= dearCrossing {
 		b.nearPart, b.nearAt = 1, now
@@ -613,7 +614,7 @@
 		return false
 	}
 	// A machine that went silent, or crawls, must not collect pushes until the first ones time out.
-	if s.out > 0 && float64(now-s.heardAt) > silence*b.slowest() {
+	if s.out > 0 && float64(now-s.heardAt) > silence*float64(b.longest) {
 		return false
 	}
 	if b.cold(now, s) {
@@ -623,9 +624,6 @@
 	return true
 }
 
-// slowest is the mean answer time of the offering that takes longest.
-func (b *Balancer) slowest() float64 { return slices.Max(b.usual) }
-
 func (b *Balancer) cold(now Time, s *server) bool {
 	return s.Started > 0 && now < s.Started+b.campaign.ColdTime
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -86,6 +86,7 @@
 	askWait    Time
 	turnedAt   Time // last turn-back for want of room
 	short      bool
+	longest    Time    // quoted time
 	nearPart   float64 // part of the keys that look for a near server first
 	nearAt     Time
 }
