--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,7 +31,6 @@
 	pushCreditMost     = 20          // further pushes that may be saved up
 	rateSpan           = 3 * Second  // memory of the rate meters
 	splitWorth         = 5           // load, for each unit of the price, past which shared caches are worth the crossing
-	silence            = 0.5         // part of the longest quoted time without a word after which a server gets nothing more
 	leanEvery          = Second / 4
 	leanAway, leanBack = 0.15, 0.05 // load of near servers beyond far ones' at which fewer, more keys stay near
 	dearCrossing       = 0.02       // price from which a crossing outweighs a split cache
@@ -79,7 +78,6 @@
 		pushes: pushCreditMost / 2, calm: 0.25}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
-		b.longest = max(b.longest, o.Quoted)
 	}
 	if c.CrossPrice >= dearCrossing {
 		b.nearPart, b.nearAt = 1, now
@@ -417,9 +415,6 @@
 	}
 	t.tried[t.pushes%len(t.tried)] = to
 	t.pushes++
-	if s.out == 0 {
-		s.heardAt = now
-	}
 	t.out++
 	t.sentAt = now
 	s.out++
@@ -613,10 +608,6 @@
 	if now < s.asideTill || s.trickle > 0 && s.out >= s.trickle {
 		return false
 	}
-	// A machine that went silent, or crawls, must not collect pushes until the first ones time out.
-	if s.out > 0 && float64(now-s.heardAt) > silence*float64(b.longest) {
-		return false
-	}
 	if b.cold(now, s) {
 		b.save(now, s)
 		return s.budget >= 1
@@ -689,9 +680,6 @@
 // or failed connection adds to it; turned away says only that the server is full.
 func (b *Balancer) judge(now Time, t *ticket, p int32, o Outcome, spent Time) {
 	s := &b.servers[p]
-	if o == Honoured || o == Errored || o == TurnedAway {
-		s.heardAt = now
-	}
 	switch o {
 	case Honoured:
 		b.good(now, t, s, spent)
--- a/policy/state.go
+++ b/policy/state.go
@@ -15,7 +15,6 @@
 	cutAt         Time
 	row           int    // failures in a row
 	rowKey        uint64 // key of the last of them
-	heardAt       Time   // last answer, or first push after none was out
 	asideTill     Time
 	skip          Time
 	trickle       int // pushes allowed out on return; 0 when in full use
@@ -86,7 +85,6 @@
 	askWait    Time
 	turnedAt   Time // last turn-back for want of room
 	short      bool
-	longest    Time    // quoted time
 	nearPart   float64 // part of the keys that look for a near server first
 	nearAt     Time
 }
