--- a/policy/policy.go
+++ b/policy/policy.go
@@ -695,14 +695,8 @@
 }
 
 func (b *Balancer) good(now Time, t *ticket, s *server, spent Time) {
+	s.row, s.skip = 0, 0
 	s.served.count(now)
-	// A server that crawls within its time-outs: at its least limit, late, and far more loaded than the rest.
-	// Rested, it may recover; where all are slow at once, moving the work would only make it worse.
-	if spent > b.campaign.Offerings[t.offering].Quoted && s.limit < 2 && b.load(s) > b.meanLoad()+crowded {
-		b.bad(now, t, s, Honoured)
-	} else {
-		s.row, s.skip = 0, 0
-	}
 	b.pushes = min(pushCreditMost, b.pushes+pushCredit)
 	b.usual[t.offering] += 0.05 * (float64(spent) - b.usual[t.offering])
 	s.ratio += 0.2 * (float64(spent)/float64(b.campaign.Offerings[t.offering].Quoted) - s.ratio)
@@ -729,17 +723,6 @@
 // load is how far a server's answer times are from the unloaded (0) to the quoted time (1).
 func (b *Balancer) load(s *server) float64 { return (s.ratio - b.calm) / max(0.2, 1-b.calm) }
 
-func (b *Balancer) meanLoad() float64 {
-	sum, n := 0.0, 0.0
-	for i := range b.servers {
-		if s := &b.servers[i]; s.Standing == Ready {
-			sum += b.load(s)
-			n++
-		}
-	}
-	return sum / max(1, n)
-}
-
 // cut lowers a server's limit, once for each time its answers take.
 func (b *Balancer) cut(now Time, s *server, to float64) {
 	if now-s.cutAt < 200*Millisecond {
