--- a/policy/policy.go
+++ b/policy/policy.go
@@ -714,7 +714,7 @@
 	}
 	switch load := b.load(s); {
 	case load > crowded:
-		b.cut(now, s, 0.8)
+		b.cut(now, s, max(0.5, crowded/b.load(s)))
 	case load < roomy && float64(s.out+2) >= s.limit:
 		s.limit += 1 / s.limit
 	}
