--- a/policy/policy.go
+++ b/policy/policy.go
@@ -576,9 +576,10 @@
 
 func (b *Balancer) room(s *server) bool { return float64(s.out) < s.limit }
 
-// spills: home is at its limit; the other must hold less by the margin, or have that many places free.
+// spills: home is at its limit; the other must hold less by the margin, or have that many places free. And it
+// must be roomy: a spilled key is not remembered there, and under load that work is taken from others.
 func (b *Balancer) spills(home int32, s *server) bool {
-	return b.servers[home].out-s.out >= spillMargin || float64(s.out+spillMargin) <= s.limit
+	return b.load(s) < roomy && b.servers[home].out-s.out >= spillMargin || b.load(s) < roomy && float64(s.out+spillMargin) <= s.limit
 }
 
 // allowed keeps the second rule: where a ticket that may have run can go; and sends no ticket twice
