--- a/policy/policy.go
+++ b/policy/policy.go
@@ -407,7 +407,7 @@
 	wait := t.cutOff - b.margin() - now
 	// A silent server must not hold a ticket that could still be honoured elsewhere; the saved pushes
 	// keep time-outs from feeding an overload.
-	if t.pushes+1 < b.campaign.MaxPushes && b.pushes >= 1 && b.meanLoad() < roomy && o.Repeats != AtMostOnce && !o.Streamed {
+	if t.pushes+1 < b.campaign.MaxPushes && b.pushes >= 1 && o.Repeats != AtMostOnce && !o.Streamed {
 		wait = min(wait, max(Time(firstWait*float64(o.Quoted)), Time(6*b.usual[t.offering])))
 	}
 	if b.cold(now, s) {
@@ -724,18 +724,6 @@
 // load is how far a server's answer times are from the unloaded (0) to the quoted time (1).
 func (b *Balancer) load(s *server) float64 { return (s.ratio - b.calm) / max(0.2, 1-b.calm) }
 
-// meanLoad is the load over all servers.
-func (b *Balancer) meanLoad() float64 {
-	sum, n := 0.0, 0.0
-	for i := range b.servers {
-		if s := &b.servers[i]; s.Standing == Ready {
-			sum += b.load(s)
-			n++
-		}
-	}
-	return sum / max(1, n)
-}
-
 // cut lowers a server's limit, once for each time its answers take.
 func (b *Balancer) cut(now Time, s *server, to float64) {
 	if now-s.cutAt < 200*Millisecond {
