--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -136,6 +136,14 @@
 		if h, ok := i.handles[id]; ok {
 			i.balancer.ClientLeft(a.now, h)
 		}
+	case "first_byte":
+		id, err := a.id()
+		if err != nil || i == nil {
+			return err
+		}
+		if h, ok := i.handles[id]; ok {
+			i.balancer.AnswerBegun(h)
+		}
 	case "wake":
 		if _, err := a.need("cookie"); err != nil || i == nil {
 			return err
--- a/internal/simwire/start.go
+++ b/internal/simwire/start.go
@@ -122,7 +122,6 @@
 			LateCredit: p.real(at + "overdue_credit"),
 			Quoted:     p.span(at + "quoted_time_s"),
 			Repeats:    policy.Repeats(p.oneOf(at+"idempotency", "retryable", "dedup", "fragile")),
-			Streamed:   p.yes(at + "streamed"),
 		}
 		if o.Repeats == policy.Numbered {
 			o.Group = policy.Group(p.oneOf(at+"group", "all", "zone", "cell"))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,52 +25,18 @@
 	skipMost           = 16 * Second // longest time aside
 	spillMargin        = 2           // free places, or fewer of our pushes, that a spill must find
 	firstLimit         = 4           // pushes out to a server of which nothing is known yet
-	roomy, crowded     = 0.2, 0.4    // mean answer time over quoted time, beyond the unloaded: more may go out, less must
+	roomy, crowded     = 0.2, 0.4    // answer time from unloaded to quoted: more may go out, less must
 	shortOfHit         = 0.25        // a cold server does up to four times the work: it remembers no keys
 	pushCredit         = 0.1         // further pushes earned by each honoured ticket
 	pushCreditMost     = 20          // further pushes that may be saved up
-	rateSpan           = 3 * Second  // memory of the rate meters
-	splitWorth         = 5           // load, for each unit of the price, past which shared caches are worth the crossing
+	splitWorth         = 5           // load a unit of price from which a shared cache is worth crossings
 	leanEvery          = Second / 4
 	leanAway, leanBack = 0.15, 0.05 // load of near servers beyond far ones' at which fewer, more keys stay near
-	dearCrossing       = 0.02       // price from which a crossing outweighs a split cache
 	repeatValue        = 0.5        // a client's repeat has used up part of its quoted time
 	firstWait          = 1.25       // part of the quoted time that a first push may take
 	sweepTicks         = 2          // ticks between looks at waiting tickets
 )
 
-// chance is a multiply-with-carry generator.
-type chance struct{ x, carry uint32 }
-
-func newChance(seed uint64) chance {
-	return chance{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
-}
-
-func (c *chance) next() uint32 {
-	v := uint64(c.x)*4294957665 + uint64(c.carry)
-	c.x, c.carry = uint32(v), uint32(v>>32)
-	return c.x
-}
-
-// part is a fraction from 0 up to 1.
-func (c *chance) part() float64 { return float64(c.next()) / (1 << 32) }
-
-// meter is a rate a second that forgets over rateSpan.
-type meter struct {
-	rate float64
-	at   Time
-}
-
-func (m *meter) now(now Time) float64 {
-	if now > m.at {
-		m.rate *= math.Exp(-float64(now-m.at) / float64(rateSpan))
-		m.at = now
-	}
-	return m.rate
-}
-
-func (m *meter) count(now Time) { m.rate = m.now(now) + float64(Second)/float64(rateSpan) }
-
 // New starts an instance.
 func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
@@ -79,7 +45,7 @@
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
 	}
-	if c.CrossPrice >= dearCrossing {
+	if c.CrossPrice > 0 {
 		b.nearPart, b.nearAt = 1, now
 	}
 	if c.MustAsk {
@@ -97,11 +63,10 @@
 	if b.campaign.MustAsk && kind != ListSaved {
 		b.askAt, b.askWait = 0, 0
 	}
-	b.members = append(b.members[:0], members...)
-	slices.SortFunc(b.members, func(x, y Member) int { return cmp.Compare(x.ID, y.ID) })
 	b.epoch++
-	for _, m := range b.members {
-		b.heard(now, m)
+	byID := func(x, y Member) int { return cmp.Compare(x.ID, y.ID) }
+	for _, m := range slices.SortedFunc(slices.Values(members), byID) {
+		b.heard(now, m, len(members))
 	}
 	if kind != ListChanges {
 		for i := range b.servers {
@@ -115,7 +80,8 @@
 	b.wake()
 }
 
-func (b *Balancer) heard(now Time, m Member) {
+// heard takes in one entry of a list; listed is how many there are.
+func (b *Balancer) heard(now Time, m Member, listed int) {
 	if !b.campaign.Weighted || m.Weight <= 0 {
 		m.Weight = 1
 	}
@@ -126,9 +92,8 @@
 		}
 		p = int32(len(b.servers))
 		b.places[m.ID] = p
-		b.servers = append(b.servers, server{Member: m, seen: b.epoch, limit: firstLimit,
-			budgetAt: now})
-		b.join(p)
+		b.servers = append(b.servers, server{Member: m, seen: b.epoch, limit: firstLimit, budgetAt: now})
+		b.join(p, listed)
 		return
 	}
 	s := &b.servers[p]
@@ -144,7 +109,7 @@
 	}
 	s.Member = m
 	if !s.inTable && m.Standing != Gone {
-		b.join(p)
+		b.join(p, listed)
 	} else if reweighed {
 		b.deal(-1, -1)
 	}
@@ -165,10 +130,10 @@
 	}
 }
 
-func (b *Balancer) join(p int32) {
+func (b *Balancer) join(p int32, listed int) {
 	if b.table == nil {
 		size := leastSlots
-		for size < slotsPerServer*len(b.members) {
+		for size < slotsPerServer*listed {
 			size *= 2
 		}
 		b.table, b.order = make([]int32, size), make([]int32, size)
@@ -204,9 +169,12 @@
 	slices.SortFunc(ranked, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(share(y)-float64(y.target), share(x)-float64(x.target)), cmp.Compare(x.ID, y.ID))
 	})
-	for i := 0; i < left; i++ {
+	for i := range left {
 		ranked[i%len(ranked)].target++
 	}
+	furthestBelow := func(x, y *server) int {
+		return cmp.Or(cmp.Compare(x.slots-x.target, y.slots-y.target), cmp.Compare(x.ID, y.ID))
+	}
 	for i := range b.table {
 		slot := b.order[i]
 		if leaver >= 0 {
@@ -218,7 +186,7 @@
 		}
 		to := joiner
 		if joiner < 0 {
-			to = b.furthestBelow()
+			to = b.places[slices.MinFunc(ranked, furthestBelow).ID]
 		} else if b.servers[joiner].slots >= b.servers[joiner].target {
 			break
 		}
@@ -239,24 +207,6 @@
 	}
 }
 
-func (b *Balancer) furthestBelow() int32 {
-	best := int32(-1)
-	for i := range b.servers {
-		s := &b.servers[i]
-		if !s.inTable {
-			continue
-		}
-		if best >= 0 {
-			o := &b.servers[best]
-			if c := cmp.Compare(s.target-s.slots, o.target-o.slots); c < 0 || c == 0 && s.ID > o.ID {
-				continue
-			}
-		}
-		best = int32(i)
-	}
-	return best
-}
-
 // ListFailed is told when asking failed or following broke.
 func (b *Balancer) ListFailed(now Time) {
 	// Re-asking in step would keep the list's service swamped: each wait is doubled and spread.
@@ -317,11 +267,8 @@
 }
 
 func (b *Balancer) held(h Handle) *ticket {
-	if h.Place() >= len(b.slab) {
-		return nil
-	}
-	if t := &b.slab[h.Place()]; t.inUse && t.generation == uint32(h>>32) {
-		return t
+	if h.Place() < len(b.slab) && b.slab[h.Place()].inUse && b.slab[h.Place()].generation == uint32(h>>32) {
+		return &b.slab[h.Place()]
 	}
 	return nil
 }
@@ -342,19 +289,18 @@
 
 // place pushes the ticket, lets it wait, or answers it.
 func (b *Balancer) place(now Time, t *ticket) {
-	if now >= t.cutOff-b.margin() {
-		b.refuse(now, t)
-		return
+	to := int32(-1)
+	if now < t.cutOff-b.margin() {
+		to = b.choose(now, t)
 	}
-	if to := b.choose(now, t); to >= 0 {
+	switch {
+	case to >= 0:
 		b.push(now, t, to)
-		return
-	}
-	if t.waitTill <= now {
+	case now >= t.waitTill:
 		b.refuse(now, t)
-		return
+	default:
+		b.enqueue(now, t)
 	}
-	b.enqueue(now, t)
 }
 
 // enqueue lets the ticket wait for its home, unless the wait would end in no answer.
@@ -407,7 +353,7 @@
 	wait := t.cutOff - b.margin() - now
 	// A silent server must not hold a ticket that could still be honoured elsewhere; the saved pushes
 	// keep time-outs from feeding an overload.
-	if t.pushes+1 < b.campaign.MaxPushes && b.pushes >= 1 && o.Repeats != AtMostOnce && !o.Streamed {
+	if t.pushes+1 < b.campaign.MaxPushes && b.pushes >= 1 && o.Repeats != AtMostOnce {
 		wait = min(wait, max(Time(firstWait*float64(o.Quoted)), Time(6*b.usual[t.offering])))
 	}
 	if b.cold(now, s) {
@@ -432,23 +378,30 @@
 	t.out--
 	b.servers[p].out--
 	b.judge(now, t, p, o, spent)
-	if over && !t.answered {
-		t.answered = true
-	}
-	if t.answered {
-		t.next = (*Balancer).settled
+	if over {
+		t.settle()
 	}
 	t.next(b, t, news{now, o, p, n, spent})
 	b.letGo(t)
 	b.drain(now, p)
 }
 
+// settle marks the final answer; what pushes still bring is learned from, no more.
+func (t *ticket) settle() { t.answered, t.next = true, (*Balancer).settled }
+
 func (b *Balancer) settled(*ticket, news) {}
 
+// AnswerBegun is told when a streamed answer starts: from then on it is the client's, and has no cut-off.
+func (b *Balancer) AnswerBegun(h Handle) {
+	if t := b.held(h); t != nil {
+		t.cutOff = math.MaxInt64
+	}
+}
+
 // pushed is the step of an open ticket whose push has ended.
 func (b *Balancer) pushed(t *ticket, n news) {
 	if n.outcome == Honoured {
-		t.answered = true
+		t.settle()
 		b.front.Honour(t.handle(), n.push)
 		return
 	}
@@ -457,14 +410,11 @@
 		if !t.mayHaveRun {
 			t.mayHaveRun, t.ranAt, t.ranOn = true, t.sentAt, n.server
 		}
-	case NotSent:
-		b.refuse(n.now, t)
-		return
 	}
 	o := &b.campaign.Offerings[t.offering]
 	spent := t.mayHaveRun || n.outcome == TurnedAway
-	late := n.now > t.arrived+o.Quoted && o.LateCredit == 0
-	if t.pushes >= b.campaign.MaxPushes || late || spent && b.pushes < 1 {
+	late := o.LateCredit == 0 && n.now > t.arrived+o.Quoted
+	if n.outcome == NotSent || t.pushes >= b.campaign.MaxPushes || late || spent && b.pushes < 1 {
 		b.refuse(n.now, t)
 		return
 	}
@@ -478,8 +428,7 @@
 // refuse answers at once: turned back where the client may safely come again, else given up.
 func (b *Balancer) refuse(now Time, t *ticket) {
 	o := &b.campaign.Offerings[t.offering]
-	t.answered = true
-	t.next = (*Balancer).settled
+	t.settle()
 	if !t.mayHaveRun && t.out == 0 || o.Repeats == Reissuable || o.Repeats == Numbered && o.Group == GroupAll {
 		if !b.short {
 			b.front.Log(fmt.Sprintf("short of room: turning back, %d in hand, %d waiting", b.inHand, len(b.queue)))
@@ -510,7 +459,7 @@
 	if i := slices.Index(b.queue, t.place); i >= 0 {
 		b.unqueue(i)
 	}
-	t.answered = true
+	t.settle()
 	b.callOff(t)
 	b.letGo(t)
 }
@@ -544,11 +493,7 @@
 			b.epoch++
 			seen = 0
 		}
-		want := b.owners
-		if pass == 0 {
-			want = b.nearOwners
-		}
-		for i := 0; i < len(b.table) && seen < want; i++ {
+		for i := 0; i < len(b.table) && seen < [...]int{b.nearOwners, b.owners, b.owners}[pass]; i++ {
 			p := b.table[(t.slot+i)%len(b.table)]
 			s := &b.servers[p]
 			if s.seen == b.epoch || pass == 0 && s.Zone != b.campaign.Zone {
@@ -559,15 +504,11 @@
 			if !b.allowed(now, t, p) || !b.usable(now, s) && (pass < 2 || b.cold(now, s)) {
 				continue
 			}
+			if b.room(s) && (t.home < 0 || b.spills(t.home, s)) {
+				return p
+			}
 			if t.home < 0 {
 				t.home = p
-				if b.room(s) {
-					return p
-				}
-				continue
-			}
-			if b.room(s) && b.spills(t.home, s) {
-				return p
 			}
 		}
 	}
@@ -579,7 +520,8 @@
 // spills: home is at its limit; the other must hold less by the margin, or have that many places free. And it
 // must be roomy: a spilled key is not remembered there, and under load that work is taken from others.
 func (b *Balancer) spills(home int32, s *server) bool {
-	return b.load(s) < roomy && b.servers[home].out-s.out >= spillMargin || b.load(s) < roomy && float64(s.out+spillMargin) <= s.limit
+	fewer := b.servers[home].out-s.out >= spillMargin || float64(s.out+spillMargin) <= s.limit
+	return fewer && b.load(s) < roomy
 }
 
 // allowed keeps the second rule: where a ticket that may have run can go; and sends no ticket twice
@@ -680,27 +622,25 @@
 // judge learns from an outcome: an honoured push ends a row of failures; an error, a time-out, a broken
 // or failed connection adds to it; turned away says only that the server is full.
 func (b *Balancer) judge(now Time, t *ticket, p int32, o Outcome, spent Time) {
-	s := &b.servers[p]
+	s, part := &b.servers[p], float64(spent)/float64(b.campaign.Offerings[t.offering].Quoted)
 	switch o {
-	case Honoured:
-		b.good(now, t, s, spent)
-	case TurnedAway:
-		b.cut(now, s, 0.7)
 	case Errored, ConnBroke, TimedOut, NotConnected:
 		if o == TimedOut {
-			s.ratio += 0.2 * (max(1, float64(spent)/float64(b.campaign.Offerings[t.offering].Quoted)) - s.ratio)
+			s.ratio += 0.2 * (max(1, part) - s.ratio)
 		}
-		b.cut(now, s, 0.7)
 		b.bad(now, t, s, o)
+		fallthrough
+	case TurnedAway:
+		b.cut(now, s, 0.7)
+	}
+	if o != Honoured {
+		return
 	}
-}
-
-func (b *Balancer) good(now Time, t *ticket, s *server, spent Time) {
 	s.row, s.skip = 0, 0
 	s.served.count(now)
 	b.pushes = min(pushCreditMost, b.pushes+pushCredit)
 	b.usual[t.offering] += 0.05 * (float64(spent) - b.usual[t.offering])
-	s.ratio += 0.2 * (float64(spent)/float64(b.campaign.Offerings[t.offering].Quoted) - s.ratio)
+	s.ratio += 0.2 * (part - s.ratio)
 	if s.trickle > 0 {
 		if s.trickle *= 2; float64(s.trickle) >= s.limit {
 			s.trickle = 0
@@ -715,7 +655,7 @@
 	}
 	switch load := b.load(s); {
 	case load > crowded:
-		b.cut(now, s, max(0.5, crowded/b.load(s)))
+		b.cut(now, s, max(0.5, crowded/load))
 	case load < roomy && float64(s.out+2) >= s.limit:
 		s.limit += 1 / s.limit
 	}
@@ -724,13 +664,11 @@
 // load is how far a server's answer times are from the unloaded (0) to the quoted time (1).
 func (b *Balancer) load(s *server) float64 { return (s.ratio - b.calm) / max(0.2, 1-b.calm) }
 
-// cut lowers a server's limit, once for each time its answers take.
+// cut lowers a server's limit, once for each burst of bad news.
 func (b *Balancer) cut(now Time, s *server, to float64) {
-	if now-s.cutAt < 200*Millisecond {
-		return
+	if now-s.cutAt >= 200*Millisecond {
+		s.cutAt, s.limit = now, max(1, s.limit*to)
 	}
-	s.cutAt = now
-	s.limit = max(1, s.limit*to)
 }
 
 func (b *Balancer) bad(now Time, t *ticket, s *server, o Outcome) {
@@ -762,7 +700,7 @@
 // lean sets the part of the keys that look for a near server first. It falls while near servers are more
 // loaded than far ones, and does so by key, so that each key stays with one server and caches do not split.
 func (b *Balancer) lean(now Time) {
-	if b.campaign.CrossPrice < dearCrossing || now-b.nearAt < leanEvery {
+	if b.campaign.CrossPrice == 0 || now-b.nearAt < leanEvery {
 		return
 	}
 	b.nearAt = now
@@ -798,8 +736,7 @@
 
 // Woken answers tickets whose time is up, lets waiting ones go on and asks for the list.
 func (b *Balancer) Woken(now Time) {
-	b.sweeping = false
-	if b.askAt > 0 && now >= b.askAt {
+	if b.sweeping = false; b.askAt > 0 && now >= b.askAt {
 		b.askAt = 0
 		b.front.FollowList(true)
 	}
@@ -816,12 +753,11 @@
 		}
 		if t.queued {
 			b.unqueue(slices.Index(b.queue, uint32(place)))
-			b.refuse(now, t)
-			continue
+		} else {
+			// A time-out that never came must not leave the client without an answer.
+			t.mayHaveRun = true
+			b.callOff(t)
 		}
-		// A time-out that never came must not leave the client without an answer.
-		t.mayHaveRun = true
-		b.callOff(t)
 		b.refuse(now, t)
 	}
 	b.drainAll(now)
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,5 +1,7 @@
 package policy
 
+import "math"
+
 // The state that policy.go decides on.
 
 type server struct {
@@ -66,9 +68,8 @@
 	order      []int32 // seeded order of the slots
 	servers    []server
 	places     map[ServerID]int32
-	members    []Member // scratch
-	owners     int      // servers with slots
-	nearOwners int      // of these, in this zone
+	owners     int // servers with slots
+	nearOwners int // of these, in this zone
 	epoch      uint32
 	ring       int // next slot for tickets without a key
 	slab       []ticket
@@ -88,3 +89,38 @@
 	nearPart   float64 // part of the keys that look for a near server first
 	nearAt     Time
 }
+
+// chance is a multiply-with-carry generator.
+type chance struct{ x, carry uint32 }
+
+func newChance(seed uint64) chance {
+	return chance{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
+}
+
+func (c *chance) next() uint32 {
+	v := uint64(c.x)*4294957665 + uint64(c.carry)
+	c.x, c.carry = uint32(v), uint32(v>>32)
+	return c.x
+}
+
+// part is a fraction from 0 up to 1.
+func (c *chance) part() float64 { return float64(c.next()) / (1 << 32) }
+
+// rateSpan is the memory of the rate meters.
+const rateSpan = 3 * Second
+
+// meter is a rate a second that forgets over rateSpan.
+type meter struct {
+	rate float64
+	at   Time
+}
+
+func (m *meter) now(now Time) float64 {
+	if now > m.at {
+		m.rate *= math.Exp(-float64(now-m.at) / float64(rateSpan))
+		m.at = now
+	}
+	return m.rate
+}
+
+func (m *meter) count(now Time) { m.rate = m.now(now) + float64(Second)/float64(rateSpan) }
--- a/policy/types.go
+++ b/policy/types.go
@@ -92,7 +92,6 @@
 	Repeats    Repeats
 	Group      Group
 	Window     Time
-	Streamed   bool
 }
 
 // Franchise is a tenant with a share of the fleet.
