--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -46,7 +46,7 @@
 
 // Run serves batches until the input ends; an error says which line could not be served and why.
 func Run(in io.Reader, out io.Writer) error {
-	a := &Adapter{in: bufio.NewReaderSize(in, 1<<20), to: out, instances: map[string]*instance{}}
+	a := &Adapter{in: bufio.NewReaderSize(in, 1<<16), to: out, instances: map[string]*instance{}}
 	open := false
 	for {
 		line, err := a.read()
--- /dev/null
+++ b/policy/helpers_test.go
@@ -0,0 +1,327 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+)
+
+// sent is one push as the plain model remembers it.
+type sent struct {
+	server ServerID
+	at     Time
+	out    bool
+	ran    bool // may have run
+}
+
+// request is one ticket as the plain model remembers it.
+type request struct {
+	offering Offering
+	cutOff   Time
+	answered bool
+	pushes   []sent
+}
+
+// event is something still to happen.
+type event struct {
+	at Time
+	do func()
+}
+
+// world is the surroundings of one sidecar and the slow, plain model of the four rules: every action is
+// checked against the whole history, with nothing remembered but what happened.
+type world struct {
+	*rand.Rand
+	now      Time
+	campaign *Campaign
+	b        *Balancer
+	life     int // counts restarts; events of an earlier life are void
+	requests map[Handle]*request
+	fleet    map[ServerID]Member
+	told     map[ServerID]Time // when this life heard that a server leaves
+	colds    map[ServerID][]Time
+	honoured []Time
+	fewest   int // fewest warm servers so far
+	events   []event
+	trace    strings.Builder
+	broken   string
+	kinds    map[string]int
+}
+
+func (w *world) fail(format string, a ...any) {
+	if w.broken == "" {
+		w.broken = fmt.Sprintf("at %d: ", w.now) + fmt.Sprintf(format, a...)
+	}
+}
+
+func (w *world) after(d Time, do func()) {
+	life := w.life
+	w.events = append(w.events, event{w.now + d, func() {
+		if life == w.life {
+			do()
+		}
+	}})
+}
+
+func (w *world) open(h Handle) *request {
+	r := w.requests[h]
+	if r == nil || r.answered {
+		w.fail("rule 1: action for a ticket that is not open")
+		return &request{}
+	}
+	return r
+}
+
+func (w *world) Push(h Handle, id ServerID, wait Time) {
+	fmt.Fprintf(&w.trace, "push %d %d %d\n", h, id, wait)
+	r, s := w.open(h), w.fleet[id]
+	if len(r.pushes) >= w.campaign.MaxPushes {
+		w.fail("more pushes than allowed")
+	}
+	for _, p := range r.pushes {
+		if p.out {
+			w.fail("two pushes out at once")
+		}
+	}
+	if first := slices.IndexFunc(r.pushes, func(p sent) bool { return p.ran }); first >= 0 {
+		p, o := r.pushes[first], r.offering
+		was := w.fleet[p.server]
+		within := o.Group == GroupAll || o.Group == GroupZone && was.Zone == s.Zone || o.Group == GroupCell && was.Cell == s.Cell
+		if o.Repeats == AtMostOnce || o.Repeats == Numbered && (!within || w.now > p.at+o.Window) {
+			w.fail("rule 2: pushed again outside its group or window")
+		}
+	}
+	if at, leaving := w.told[id]; leaving && w.now > at+Second {
+		w.fail("rule 3: pushed to a leaving server")
+	}
+	if s.Started > 0 && w.now < s.Started+w.campaign.ColdTime {
+		w.coldPush(id, s)
+	}
+	if wait <= 0 || w.now+wait > r.cutOff {
+		w.fail("rule 1: a wait of %d with %d left", wait, r.cutOff-w.now)
+	}
+	r.pushes = append(r.pushes, sent{server: id, at: w.now, out: true})
+	w.outcomeOf(h, r, len(r.pushes)-1, wait)
+}
+
+// coldPush counts pushes to a cold server against what a warm one was at most seen to honour.
+func (w *world) coldPush(id ServerID, s Member) {
+	w.colds[id] = append(w.colds[id], w.now)
+	c, peak := w.campaign, 0
+	for i, at := range w.honoured {
+		n := 1
+		for _, other := range w.honoured[:i] {
+			if other > at-Second {
+				n++
+			}
+		}
+		peak = max(peak, n)
+	}
+	span := float64(c.FallWindow) / float64(Second)
+	share := c.ColdShare + (1-c.ColdShare)*float64(w.now-s.Started)/float64(c.ColdTime)
+	// A rate that forgets over three seconds is at most 1.2 times its busiest second.
+	most := 1 + span*(1/float64(c.Sidecars)+c.FallMultiple*share*0.25*1.2*float64(peak)/float64(max(1, w.fewest)))
+	n := 0
+	for _, at := range w.colds[id] {
+		if at > w.now-c.FallWindow {
+			n++
+		}
+	}
+	if float64(n) > most {
+		w.fail("rule 4: %d pushes to a cold server, %.1f allowed", n, most)
+	}
+}
+
+// outcomeOf draws how a push ends, and when.
+func (w *world) outcomeOf(h Handle, r *request, n int, wait Time) {
+	o := Outcome(w.Intn(int(NotSent)))
+	if w.Intn(3) > 0 {
+		o = Honoured
+	}
+	d := Time(w.Int63n(int64(300 * Millisecond)))
+	if o == TimedOut || d > wait {
+		o, d = TimedOut, wait
+	}
+	if o == TimedOut && w.Intn(4) == 0 {
+		d += 10 * Second // a time-out that is lost until long after the cut-off
+	}
+	w.after(d, func() {
+		p := &r.pushes[n]
+		p.out = false
+		switch o {
+		case Errored, TimedOut, ConnBroke, CalledOff:
+			p.ran = true
+		case Honoured:
+			w.honoured = append(w.honoured, w.now)
+			r.answered = true
+		}
+		w.kinds[fmt.Sprint("outcome ", o)]++
+		w.b.PushEnded(w.now, h, PushNo(n), p.server, o, w.now-p.at, r.answered)
+	})
+	for i := range r.pushes {
+		// A push that is out may already be running.
+		r.pushes[i].ran = r.pushes[i].ran || r.pushes[i].out && i < n
+	}
+}
+
+func (w *world) TurnBack(h Handle, _ Time) {
+	fmt.Fprintf(&w.trace, "back %d\n", h)
+	w.kinds["turned back"]++
+	r := w.open(h)
+	again := r.offering.Repeats == Reissuable || r.offering.Repeats == Numbered && r.offering.Group == GroupAll
+	for _, p := range r.pushes {
+		if (p.ran || p.out) && !again {
+			w.fail("rule 2: turned back though it may have run")
+		}
+	}
+	r.answered = true
+}
+
+func (w *world) GiveUp(h Handle) {
+	fmt.Fprintf(&w.trace, "give up %d\n", h)
+	w.kinds["given up"]++
+	w.open(h).answered = true
+}
+
+func (w *world) Cancel(Handle, PushNo) {}
+func (w *world) Honour(Handle, PushNo) {}
+func (w *world) Probe(ServerID)        {}
+func (w *world) Log(string)            {}
+func (w *world) Wake(in Time)          { w.after(in, func() { w.b.Woken(w.now) }) }
+
+func (w *world) FollowList(bool) {
+	w.after(100*Millisecond, func() {
+		if w.Intn(3) == 0 {
+			w.b.ListFailed(w.now)
+		} else {
+			w.list(ListFull)
+		}
+	})
+}
+
+// list changes the fleet a little and tells the sidecar.
+func (w *world) list(kind ListKind) {
+	var all []Member
+	for id := ServerID(1); id <= 8; id++ {
+		m := w.fleet[id]
+		switch w.Intn(12) {
+		case 0:
+			m.Standing = Draining
+		case 1:
+			m.Standing = Gone
+		case 2:
+			m.Standing, m.Started = Ready, w.now
+		case 3:
+			m.Standing = Ready
+		}
+		m.ID, m.Weight, m.Zone, m.Cell = id, 1, Zone([]string{"a", "b"}[id%2]), Cell(id%4)
+		w.fleet[id] = m
+		all = append(all, m)
+	}
+	if w.Intn(20) == 0 && kind == ListFull {
+		all = nil
+	}
+	w.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	listed := map[ServerID]bool{}
+	warm := 0
+	for _, m := range all {
+		listed[m.ID] = m.Standing == Ready
+		if m.Standing == Ready && (m.Started == 0 || w.now >= m.Started+w.campaign.ColdTime) {
+			warm++
+		}
+	}
+	w.fewest = min(w.fewest, warm)
+	for id := range w.fleet {
+		if _, was := w.told[id]; listed[id] {
+			delete(w.told, id)
+		} else if !was {
+			w.told[id] = w.now
+		}
+	}
+	w.b.List(w.now, kind, all)
+}
+
+// start begins a life of the sidecar; requests of an earlier one are the clients' to retry.
+func (w *world) start() {
+	w.life++
+	w.requests = map[Handle]*request{}
+	w.told = map[ServerID]Time{}
+	w.b = New(w, w.campaign, uint64(w.Int63()), w.now)
+	if w.Intn(4) > 0 {
+		w.list(ListSaved)
+	}
+}
+
+func (w *world) arrive() {
+	o := OfferingID(w.Intn(len(w.campaign.Offerings)))
+	key := ""
+	if w.Intn(5) > 0 {
+		key = fmt.Sprint("key", w.Intn(20))
+	}
+	left := Time(w.Int63n(int64(2 * Second)))
+	if w.Intn(20) == 0 {
+		left = Millisecond
+	}
+	h := w.b.Admit(w.now, o, FranchiseID(w.Intn(2)), key, w.Intn(5) == 0, left)
+	w.requests[h] = &request{offering: w.campaign.Offerings[o], cutOff: w.now + left}
+	w.b.Begin(w.now, h)
+	if w.Intn(30) == 0 {
+		w.after(left/2, func() {
+			if r := w.requests[h]; !r.answered {
+				r.answered = true
+				w.b.ClientLeft(w.now, h)
+			}
+		})
+	}
+}
+
+// play runs a drawn history to its end and returns what was done, and the first rule broken.
+func play(seed int64) *world {
+	r := rand.New(rand.NewSource(seed))
+	w := &world{Rand: r, now: 100 * Second, fleet: map[ServerID]Member{}, colds: map[ServerID][]Time{},
+		kinds: map[string]int{}, fewest: 8, campaign: &Campaign{
+			Sidecars: 1 + r.Intn(4), Zone: "a", Franchises: []Franchise{{"x", 20}, {"y", 20}}, BeyondCredit: 0.05,
+			MustAsk: r.Intn(2) == 0, MustAskIn: 10 * Second, MayCancel: true, MaxPushes: 3, Advice: Second,
+			CrossPrice: 0.1 * float64(r.Intn(2)), Tick: 5 * Millisecond, ColdShare: 0.1 + r.Float64()/4,
+			ColdTime: 20 * Second, FallMultiple: 3, FallWindow: Second, Offerings: []Offering{
+				{Name: "r", Credit: 5, Quoted: Second / 2},
+				{Name: "n", Credit: 3, LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Window: Second / 2},
+				{Name: "z", Credit: 3, LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Group: GroupZone, Window: Second / 2},
+				{Name: "c", Credit: 3, LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Group: GroupCell, Window: Second},
+				{Name: "o", Credit: 3, LateCredit: 0.2, Quoted: Second / 2, Repeats: AtMostOnce}}}}
+	w.start()
+	for end := w.now + 20*Second; w.now < end && w.broken == ""; {
+		next := w.now + Time(w.Int63n(int64(20*Millisecond)))
+		for {
+			due := -1
+			for i, e := range w.events {
+				if e.at <= next && (due < 0 || e.at < w.events[due].at) {
+					due = i
+				}
+			}
+			if due < 0 {
+				break
+			}
+			e := w.events[due]
+			w.events = slices.Delete(w.events, due, due+1)
+			w.now = max(w.now, e.at)
+			e.do()
+		}
+		w.now = next
+		for _, r := range w.requests {
+			if !r.answered && w.now > r.cutOff+20*Millisecond {
+				w.fail("rule 1: no answer before the cut-off")
+			}
+		}
+		switch k := w.Intn(200); {
+		case k == 0:
+			w.start()
+		case k < 4:
+			w.list([]ListKind{ListFull, ListChanges}[w.Intn(2)])
+		case k < 150:
+			w.arrive()
+		}
+	}
+	return w
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -68,11 +68,9 @@
 	for _, m := range slices.SortedFunc(slices.Values(members), byID) {
 		b.heard(now, m, len(members))
 	}
-	if kind != ListChanges {
-		for i := range b.servers {
-			if s := &b.servers[i]; s.seen != b.epoch && s.Standing != Gone {
-				s.Standing, s.leftAt = Gone, now
-			}
+	for i := range b.servers {
+		if s := &b.servers[i]; kind != ListChanges && s.seen != b.epoch && s.Standing != Gone {
+			s.Standing, s.leftAt = Gone, now
 		}
 	}
 	b.dropGone(now)
@@ -278,8 +276,8 @@
 // Begin decides the first step of a ticket.
 func (b *Balancer) Begin(now Time, h Handle) {
 	if t := b.held(h); t != nil {
-		o := &b.campaign.Offerings[t.offering]
-		t.waitTill = min(t.arrived+o.Quoted-Time(b.usual[t.offering]), t.cutOff-b.margin())
+		slack := b.campaign.Offerings[t.offering].Quoted - Time(b.usual[t.offering])
+		t.waitTill = min(t.arrived+slack, t.cutOff-b.margin())
 		b.place(now, t)
 		b.wake()
 	}
@@ -342,8 +340,12 @@
 	b.queue = slices.Delete(b.queue, i, i+1)
 }
 
-// called is the step of a waiting ticket: a server has room for it.
+// called is the step of a waiting ticket: a server has room for it, which may come too late.
 func (b *Balancer) called(t *ticket, n news) {
+	if n.now >= t.waitTill {
+		b.refuse(n.now, t)
+		return
+	}
 	b.push(n.now, t, n.server)
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,26 +1,287 @@
 package policy
 
-import "testing"
-
-// quiet is a front that asks nothing of its surroundings.
-type quiet struct{}
-
-func (quiet) Push(Handle, ServerID, Time) {}
-func (quiet) Cancel(Handle, PushNo)       {}
-func (quiet) Honour(Handle, PushNo)       {}
-func (quiet) TurnBack(Handle, Time)       {}
-func (quiet) GiveUp(Handle)               {}
-func (quiet) Probe(ServerID)              {}
-func (quiet) Wake(Time)                   {}
-func (quiet) FollowList(bool)             {}
-func (quiet) Log(string)                  {}
-
-func TestSharesWithinOneSlot(t *testing.T) {
-	b := New(quiet{}, &Campaign{Sidecars: 1, Weighted: true}, 1, 0)
-	b.List(0, ListFull, []Member{{ID: 3, Weight: 1}, {ID: 1, Weight: 2}, {ID: 2, Weight: 1}})
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"testing/quick"
+)
+
+// quiet is a front that remembers the last push and answers nothing.
+type quiet struct {
+	world
+	to   []ServerID
+	back int
+}
+
+func (q *quiet) Push(_ Handle, s ServerID, _ Time) { q.to = append(q.to, s) }
+func (q *quiet) TurnBack(Handle, Time)             { q.back++ }
+func (q *quiet) GiveUp(Handle)                     { q.back++ }
+func (q *quiet) Wake(Time)                         {}
+func (q *quiet) FollowList(bool)                   {}
+
+func TestRulesAgainstPlainModel(t *testing.T) {
+	kinds := map[string]int{}
+	check := func(seed int64) bool {
+		w := play(seed)
+		for k, n := range w.kinds {
+			kinds[k] += n
+		}
+		if w.broken != "" {
+			t.Errorf("seed %d: %s", seed, w.broken)
+		}
+		return w.broken == ""
+	}
+	if err := quick.Check(check, &quick.Config{MaxCount: 150, Rand: rand.New(rand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+	if len(kinds) < 9 {
+		t.Errorf("the histories reach too little: %v", kinds)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	same := func(seed int64) bool { return play(seed).trace.String() == play(seed).trace.String() }
+	if err := quick.Check(same, &quick.Config{MaxCount: 10, Rand: rand.New(rand.NewSource(2))}); err != nil {
+		t.Error(err)
+	}
+}
+
+func fleet(n int, zones ...Zone) []Member {
+	var all []Member
+	for i := range n {
+		all = append(all, Member{ID: ServerID(i + 1), Weight: float64(1 + i%3), Zone: zones[i%len(zones)]})
+	}
+	return all
+}
+
+func campaign() *Campaign {
+	return &Campaign{Sidecars: 1, Zone: "a", Weighted: true, MaxPushes: 3, Tick: 5 * Millisecond, ColdShare: 0.1,
+		ColdTime: 20 * Second, FallMultiple: 3, Offerings: []Offering{{Name: "r", Credit: 1, Quoted: Second}}}
+}
+
+func started(members []Member) (*Balancer, *quiet) {
+	q := &quiet{}
+	b := New(q, campaign(), 7, Second)
+	b.List(Second, ListFull, members)
+	return b, q
+}
+
+func owners(b *Balancer) []ServerID {
+	var ids []ServerID
+	for _, p := range b.table {
+		ids = append(ids, b.servers[p].ID)
+	}
+	return ids
+}
+
+func within(t *testing.T, b *Balancer) {
+	t.Helper()
+	total := 0.0
+	for _, s := range b.servers {
+		if s.inTable {
+			total += s.Weight
+		}
+	}
 	for _, s := range b.servers {
-		if want := float64(len(b.table)) * s.Weight / 4; float64(s.slots) < want-1 || float64(s.slots) > want+1 {
-			t.Errorf("server %d has %d slots, want about %.0f", s.ID, s.slots, want)
+		if want := float64(len(b.table)) * s.Weight / total; s.inTable && (float64(s.slots) < want-1 || float64(s.slots) > want+1) {
+			t.Errorf("server %d has %d slots, want about %.1f", s.ID, s.slots, want)
+		}
+	}
+}
+
+func TestTableIsTheSameFromShuffledLists(t *testing.T) {
+	same := func(seed int64, n uint8) bool {
+		all := fleet(1+int(n%40), "a")
+		b, _ := started(all)
+		within(t, b)
+		want := owners(b)
+		rand.New(rand.NewSource(seed)).Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		b, _ = started(all)
+		return slices.Equal(want, owners(b))
+	}
+	if err := quick.Check(same, &quick.Config{MaxCount: 40, Rand: rand.New(rand.NewSource(3))}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestOnlySurplusMoves(t *testing.T) {
+	all := fleet(9, "a")
+	b, _ := started(all[:8])
+	before := owners(b)
+	b.List(Second, ListChanges, all[8:])
+	within(t, b)
+	joined := owners(b)
+	for i := range before {
+		if joined[i] != before[i] && joined[i] != 9 {
+			t.Fatalf("slot %d went from %d to %d when 9 joined", i, before[i], joined[i])
+		}
+	}
+	gone := all[3]
+	gone.Standing = Gone
+	b.List(Second, ListChanges, []Member{gone})
+	if !slices.Equal(owners(b), joined) {
+		t.Fatal("a server listed gone lost slots before the hold time")
+	}
+	b.Woken(Second + holdTime)
+	within(t, b)
+	for i, id := range owners(b) {
+		if id != joined[i] && joined[i] != 4 {
+			t.Fatalf("slot %d went from %d to %d when 4 left", i, joined[i], id)
 		}
 	}
+	b.List(Second+holdTime, ListFull, nil)
+	after := owners(b)
+	b.Woken(Second + 3*holdTime)
+	if !slices.Equal(owners(b), after) {
+		t.Error("an empty list changed the table")
+	}
+}
+
+func TestRestartKeepsSlotsAndStartsWithoutBudget(t *testing.T) {
+	all := fleet(4, "a")
+	b, q := started(all)
+	before := owners(b)
+	all[0].Started = 2 * Second
+	b.List(2*Second, ListChanges, all[:1])
+	if !slices.Equal(before, owners(b)) {
+		t.Error("a restart moved slots")
+	}
+	for i := range 50 {
+		b.Begin(2*Second, b.Admit(2*Second, 0, NoFranchise, fmt.Sprint(i), false, Second))
+	}
+	if slices.Contains(q.to, 1) {
+		t.Error("a server was pushed to in the moment of its start")
+	}
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	b, q := started(fleet(8, "a"))
+	q.to = make([]ServerID, 0, 5000)
+	now := 2 * Second
+	one := func() {
+		now += 3 * Millisecond
+		h := b.Admit(now, 0, NoFranchise, "call", false, Second)
+		b.Begin(now, h)
+		b.PushEnded(now+Millisecond, h, 0, q.to[len(q.to)-1], Honoured, Millisecond, true)
+		b.Woken(now)
+	}
+	if n := testing.AllocsPerRun(2000, one); n != 0 {
+		t.Errorf("%v allocations a ticket", n)
+	}
+}
+
+// push sends tickets of the given key and ends each push with the outcome.
+func push(b *Balancer, q *quiet, now Time, key string, o Outcome, spent Time) ServerID {
+	h := b.Admit(now, 0, NoFranchise, key, false, 2*Second)
+	b.Begin(now, h)
+	id := q.to[len(q.to)-1]
+	for n := 0; b.held(h) != nil && n < 5; n++ {
+		b.PushEnded(now, h, PushNo(n), q.to[len(q.to)-1], o, spent, o == Honoured)
+	}
+	return id
+}
+
+func aside(b *Balancer, now Time) (n int) {
+	for _, s := range b.servers {
+		if now < s.asideTill {
+			n++
+		}
+	}
+	return n
+}
+
+// A ticket that fails wherever it goes set aside one server after another.
+func TestOneBadKeySetsNoServerAside(t *testing.T) {
+	b, q := started(fleet(6, "a"))
+	for i := range 30 {
+		push(b, q, 2*Second+Time(i)*Millisecond, "poison", Errored, Millisecond)
+	}
+	if n := aside(b, 3*Second); n > 0 {
+		t.Errorf("%d servers aside for one key", n)
+	}
+}
+
+// When everything fails at once, setting servers aside only crowds the rest.
+func TestSharedTroubleLeavesHalfInUse(t *testing.T) {
+	b, q := started(fleet(6, "a"))
+	for i := range 300 {
+		push(b, q, 2*Second+Time(i)*Millisecond, fmt.Sprint(i), Errored, Millisecond)
+	}
+	if n := aside(b, 2300*Millisecond); n == 0 || n > 3 {
+		t.Errorf("%d of 6 servers aside", n)
+	}
+}
+
+// A server back from being set aside gets a trickle that doubles, not its whole traffic at once.
+func TestReturnIsATrickle(t *testing.T) {
+	b, q := started(fleet(2, "a"))
+	b.servers[0].trickle = 1
+	for i := range 8 {
+		b.Begin(2*Second, b.Admit(2*Second, 0, NoFranchise, fmt.Sprint(i), false, Second))
+	}
+	if b.servers[0].out != 1 {
+		t.Errorf("%d of %d pushes out to a server that just returned", b.servers[0].out, len(q.to))
+	}
+}
+
+// Limits grown in calm times let a burst choke the servers; late answers must bring them down at once.
+func TestLateAnswersLowerTheLimit(t *testing.T) {
+	b, q := started(fleet(1, "a"))
+	for i := range 20 {
+		push(b, q, 2*Second+Time(i)*100*Millisecond, fmt.Sprint(i), Honoured, 900*Millisecond)
+	}
+	if l := b.servers[0].limit; l > 1 {
+		t.Errorf("limit %.1f after twenty crowded answers", l)
+	}
+}
+
+// nord-energi i9d3343: near servers were flooded by their own zone's sidecars while far ones idled.
+func TestLoadedNearSideGivesKeysAway(t *testing.T) {
+	q := &quiet{}
+	c := campaign()
+	c.CrossPrice = 0.1
+	b := New(q, c, 7, Second)
+	b.List(Second, ListFull, fleet(6, "a", "b"))
+	near := push(b, q, 2*Second, "k", Honoured, Millisecond)
+	if b.servers[b.places[near]].Zone != "a" {
+		t.Error("an unloaded near side was passed over")
+	}
+	for i := range b.servers {
+		if b.servers[i].Zone == "a" {
+			b.servers[i].ratio = 0.9
+		}
+	}
+	for i := range 40 {
+		b.Woken(3*Second + Time(i)*leanEvery)
+	}
+	if b.nearPart > 0 {
+		t.Errorf("%.2f of the keys still look near first", b.nearPart)
+	}
+}
+
+// oslo-skript, a fresh slow day: spilled keys are full work at servers that were loaded already.
+func TestSpillsOnlyToRoomyServers(t *testing.T) {
+	b, q := started(fleet(3, "a"))
+	for i := range b.servers {
+		b.servers[i].ratio, b.servers[i].limit = 0.6, 2
+	}
+	for range 4 {
+		b.Begin(2*Second, b.Admit(2*Second, 0, NoFranchise, "hot", false, Second))
+	}
+	if n := len(slices.Compact(q.to)); n != 1 {
+		t.Errorf("a key went to %d loaded servers", n)
+	}
+}
+
+func TestNoServerAnswersBeforeCutOff(t *testing.T) {
+	q := &quiet{}
+	b := New(q, campaign(), 7, 0)
+	b.Begin(0, b.Admit(0, 0, NoFranchise, "k", false, Second/2))
+	b.Begin(0, b.Admit(0, 0, NoFranchise, "k", false, Millisecond))
+	b.Woken(Second/2 - b.margin())
+	if q.back != 2 || b.inHand != 0 {
+		t.Errorf("%d answers, %d in hand", q.back, b.inHand)
+	}
 }
