--- a/policy/policy.go
+++ b/policy/policy.go
@@ -520,10 +520,10 @@
 func (b *Balancer) room(s *server) bool { return float64(s.out) < s.limit }
 
 // spills: home is at its limit; the other must hold less by the margin, or have that many places free. And it
-// must be roomy, or half as loaded as home: a spilled key is not remembered there, and under load that work is taken from others.
+// must be roomy: a spilled key is not remembered there, and under load that work is taken from others.
 func (b *Balancer) spills(home int32, s *server) bool {
 	fewer := b.servers[home].out-s.out >= spillMargin || float64(s.out+spillMargin) <= s.limit
-	return fewer && b.load(s) < max(roomy, b.load(&b.servers[home])/2)
+	return fewer && b.load(s) < roomy
 }
 
 // allowed keeps the second rule: where a ticket that may have run can go; and sends no ticket twice
