--- a/policy/policy.go
+++ b/policy/policy.go
@@ -306,7 +306,7 @@
 	room, waiting := 2.0, 0
 	if t.home >= 0 {
 		s := &b.servers[t.home]
-		room = max(room, s.served.now(now)*float64(t.waitTill-now)/float64(Second))
+		room = max(room, s.served.now(now)*float64(t.waitTill-now)/float64(Second)*0.5)
 		waiting = s.waiting
 	}
 	if float64(waiting) >= room {
