--- a/policy/policy.go
+++ b/policy/policy.go
@@ -289,7 +289,7 @@
 func (b *Balancer) place(now Time, t *ticket) {
 	to := int32(-1)
 	if now < t.cutOff-b.margin() {
-		to = b.choose(now, t)
+		to = b.choose(now, t, false)
 	}
 	switch {
 	case to >= 0:
@@ -317,12 +317,12 @@
 			}
 		}
 		if worst < 0 {
-			b.refuse(now, t)
+			b.lastResort(now, t)
 			return
 		}
 		place := b.queue[worst]
 		b.unqueue(worst)
-		b.refuse(now, &b.slab[place])
+		b.lastResort(now, &b.slab[place])
 	}
 	t.queued, t.next = true, (*Balancer).called
 	if t.home >= 0 {
@@ -331,6 +331,16 @@
 	b.queue = append(b.queue, t.place)
 }
 
+// lastResort pushes to any server with room rather than turn back: a hot key fills its home and the queue
+// there while most servers are idle.
+func (b *Balancer) lastResort(now Time, t *ticket) {
+	if to := b.choose(now, t, true); to >= 0 {
+		b.push(now, t, to)
+	} else {
+		b.refuse(now, t)
+	}
+}
+
 func (b *Balancer) unqueue(i int) {
 	t := &b.slab[b.queue[i]]
 	t.queued = false
@@ -475,8 +485,8 @@
 // ---- choosing a server ----
 
 // choose walks the table from the ticket's slot. The first usable server is its home; it spills further
-// only when home has no room. -1: wait for home.
-func (b *Balancer) choose(now Time, t *ticket) int32 {
+// only when home has no room, and with any to whichever has. -1: wait for home.
+func (b *Balancer) choose(now Time, t *ticket, any bool) int32 {
 	t.home = -1
 	if len(b.table) == 0 {
 		return -1
@@ -506,7 +516,7 @@
 			if !b.allowed(now, t, p) || !b.usable(now, s) && (pass < 2 || b.cold(now, s)) {
 				continue
 			}
-			if b.room(s) && (t.home < 0 || b.spills(t.home, s)) {
+			if b.room(s) && (t.home < 0 || any || b.spills(t.home, s)) {
 				return p
 			}
 			if t.home < 0 {
