--- a/policy/policy.go
+++ b/policy/policy.go
@@ -634,8 +634,7 @@
 // judge learns from an outcome: an honoured push ends a row of failures; an error, a time-out, a broken
 // or failed connection adds to it; turned away says only that the server is full.
 func (b *Balancer) judge(now Time, t *ticket, p int32, o Outcome, spent Time) {
-	s, quoted := &b.servers[p], b.campaign.Offerings[t.offering].Quoted
-	part := float64(spent) / float64(quoted)
+	s, part := &b.servers[p], float64(spent)/float64(b.campaign.Offerings[t.offering].Quoted)
 	switch o {
 	case Errored, ConnBroke, TimedOut, NotConnected:
 		if o == TimedOut {
@@ -644,7 +643,7 @@
 		b.bad(now, t, s, o)
 		fallthrough
 	case TurnedAway:
-		b.cut(now, quoted, s, 0.7)
+		b.cut(now, s, 0.7)
 	}
 	if o != Honoured {
 		return
@@ -668,7 +667,7 @@
 	}
 	switch load := b.load(s); {
 	case load > crowded:
-		b.cut(now, quoted, s, max(0.5, crowded/load))
+		b.cut(now, s, max(0.5, crowded/load))
 	case load < roomy && float64(s.out+2) >= s.limit:
 		s.limit += part / s.limit // one more in each quoted time of full use, however short the answers
 	}
@@ -677,9 +676,9 @@
 // load is how far a server's answer times are from the unloaded (0) to the quoted time (1).
 func (b *Balancer) load(s *server) float64 { return (s.ratio - b.calm) / max(0.2, 1-b.calm) }
 
-// cut lowers a server's limit, once in half a quoted time: what was out at the last cut must first answer.
-func (b *Balancer) cut(now, quoted Time, s *server, to float64) {
-	if now-s.cutAt >= quoted/2 {
+// cut lowers a server's limit, once for each burst of bad news.
+func (b *Balancer) cut(now Time, s *server, to float64) {
+	if now-s.cutAt >= 200*Millisecond {
 		s.cutAt, s.limit = now, max(1, s.limit*to)
 	}
 }
