--- a/policy/policy.go
+++ b/policy/policy.go
@@ -446,7 +446,7 @@
 			b.front.Log(fmt.Sprintf("short of room: turning back, %d in hand, %d waiting", b.inHand, len(b.queue)))
 		}
 		b.short, b.turnedAt = true, now
-		b.front.TurnBack(t.handle(), min(b.campaign.Advice, 3*o.Quoted))
+		b.front.TurnBack(t.handle(), min(b.campaign.Advice, o.Quoted))
 	} else {
 		b.front.GiveUp(t.handle())
 	}
