--- a/policy/policy.go
+++ b/policy/policy.go
@@ -671,7 +671,7 @@
 	case load > crowded && s.limit == 1 && s.trickle == 0:
 		// Crowded with the least out: it crawls, or has choked and stays so until it rests.
 		if s.crawl++; s.crawl >= crawling {
-			b.setAside(now, s, restTime, "crowded at the least limit")
+			b.setAside(now, s, restTime, rest)
 		}
 	case load > crowded:
 		b.cut(now, s, max(0.5, crowded/load))
@@ -706,6 +706,8 @@
 // why names the outcomes that set a server aside.
 var why = [...]string{Errored: "errors", TimedOut: "time-outs", NotConnected: "no connection", ConnBroke: "resets"}
 
+const rest = "crowded at the least limit"
+
 // setAside leaves a server out for a time; it returns by a trickle.
 func (b *Balancer) setAside(now Time, s *server, skip Time, cause string) {
 	aside, ready := 1, 0
@@ -718,7 +720,7 @@
 		}
 	}
 	// When most servers look bad at once the cause is shared, and moving their work makes it worse.
-	if cause != why[NotConnected] && 2*aside > ready {
+	if cause != why[NotConnected] && 2*aside > ready || cause == rest && 4*aside > ready {
 		return
 	}
 	s.skip, s.crawl, s.asideTill, s.trickle = skip, 0, now+skip, 1
