--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,8 +22,6 @@
 	holdTime           = 30 * Second // a server listed gone keeps its slots this long
 	inRow              = 3           // failures in a row that set a server aside
 	skipFirst          = 2 * Second  // first time aside; doubled on each relapse
-	crawling           = 6           // crowded answers at the least limit that send a server to rest
-	restTime           = 4 * Second
 	skipMost           = 16 * Second // longest time aside
 	spillMargin        = 2           // free places, or fewer of our pushes, that a spill must find
 	firstLimit         = 4           // pushes out to a server of which nothing is known yet
@@ -668,11 +666,6 @@
 		b.calm += 0.0005 * (s.ratio - b.calm)
 	}
 	switch load := b.load(s); {
-	case load > crowded && s.limit == 1 && s.trickle == 0:
-		// Crowded with the least out: it crawls, or has choked and stays so until it rests.
-		if s.crawl++; s.crawl >= crawling {
-			b.setAside(now, s, restTime, rest)
-		}
 	case load > crowded:
 		b.cut(now, s, max(0.5, crowded/load))
 	case load < roomy && float64(s.out+2) >= s.limit:
@@ -700,32 +693,20 @@
 	if s.row < inRow && s.trickle == 0 || now < s.asideTill {
 		return
 	}
-	b.setAside(now, s, min(max(2*s.skip, skipFirst), skipMost), why[o])
-}
-
-// why names the outcomes that set a server aside.
-var why = [...]string{Errored: "errors", TimedOut: "time-outs", NotConnected: "no connection", ConnBroke: "resets"}
-
-const rest = "crowded at the least limit"
-
-// setAside leaves a server out for a time; it returns by a trickle.
-func (b *Balancer) setAside(now Time, s *server, skip Time, cause string) {
-	aside, ready := 1, 0
+	aside := 0
 	for i := range b.servers {
-		if o := &b.servers[i]; o.Standing == Ready {
-			ready++
-			if now < o.asideTill {
-				aside++
-			}
+		if now < b.servers[i].asideTill && b.servers[i].Standing == Ready {
+			aside++
 		}
 	}
 	// When most servers look bad at once the cause is shared, and moving their work makes it worse.
-	if cause != why[NotConnected] && 2*aside > ready || cause == rest && 4*aside > ready {
+	if o != NotConnected && 2*(aside+1) > len(b.servers) {
 		return
 	}
-	s.skip, s.crawl, s.asideTill, s.trickle = skip, 0, now+skip, 1
-	b.front.Log(fmt.Sprintf("server %d: aside %dms, %s, %d in a row, load %.2f, limit %.1f", s.ID,
-		skip/Millisecond, cause, s.row, b.load(s), s.limit))
+	s.skip = min(max(2*s.skip, skipFirst), skipMost)
+	s.asideTill, s.trickle = now+s.skip, 1
+	b.front.Log(fmt.Sprintf("server %d: aside %dms, %d failures in a row, last %d", s.ID,
+		s.skip/Millisecond, s.row, o))
 }
 
 // lean sets the part of the keys that look for a near server first. It falls while near servers are more
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,7 +18,6 @@
 	row           int    // failures in a row
 	rowKey        uint64 // key of the last of them
 	asideTill     Time
-	crawl         int // crowded answers at the least limit
 	skip          Time
 	trickle       int // pushes allowed out on return; 0 when in full use
 	served        meter
