Start unknown servers at a limit of 2 pushes out

Cause: with every server cold in the first seconds, five sidecars times four pushes choked servers, which then stayed slow.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	skipFirst          = 2 * Second  // first time aside; doubled on each relapse
 	skipMost           = 16 * Second // longest time aside
 	spillMargin        = 2           // free places, or fewer of our pushes, that a spill must find
-	firstLimit         = 4           // pushes out to a server of which nothing is known yet
+	firstLimit         = 2           // pushes out to a server of which nothing is known yet
 	roomy, crowded     = 0.2, 0.4    // answer time from unloaded to quoted: more may go out, less must
 	shortOfHit         = 0.25        // a cold server does up to four times the work: it remembers no keys
 	pushCredit         = 0.1         // further pushes earned by each honoured ticket
