--- a/policy/policy.go
+++ b/policy/policy.go
@@ -671,7 +671,7 @@
 	case load < roomy && float64(s.out+2) >= s.limit:
 		s.limit += part / s.limit // one more in each quoted time of full use, however short the answers
 	case load < roomy:
-		s.limit = max(firstLimit, s.limit-part/s.limit) // unused room would let a surge choke the server
+		s.limit = max(firstLimit, s.limit-part/s.limit/4) // unused room would let a surge choke the server
 	}
 }
 
