--- a/policy/policy.go
+++ b/policy/policy.go
@@ -670,8 +670,8 @@
 		b.cut(now, s, max(0.5, crowded/load))
 	case load < roomy && float64(s.out+2) >= s.limit:
 		s.limit += part / s.limit // one more in each quoted time of full use, however short the answers
-	case load < roomy:
-		s.limit = max(firstLimit, s.limit-part/s.limit/4) // unused room would let a surge choke the server
+	case load < roomy && float64(2*s.out+2) < s.limit:
+		s.limit = max(firstLimit, s.limit-part/s.limit) // unused room would let a surge choke the server
 	}
 }
 
