--- a/policy/policy.go
+++ b/policy/policy.go
@@ -669,9 +669,7 @@
 	case load > crowded:
 		b.cut(now, s, max(0.5, crowded/load))
 	case load < roomy && float64(s.out+2) >= s.limit:
-		s.limit += 2 * part / s.limit // two more in each quoted time of full use, however short the answers
-	case float64(s.out+2) < s.limit:
-		s.limit = max(firstLimit, s.limit-part/s.limit) // unused room would let a surge choke the server
+		s.limit += part / s.limit // one more in each quoted time of full use, however short the answers
 	}
 }
 
