--- a/policy/policy.go
+++ b/policy/policy.go
@@ -669,7 +669,7 @@
 	case load > crowded:
 		b.cut(now, s, max(0.5, crowded/load))
 	case load < roomy && float64(s.out+2) >= s.limit:
-		s.limit += part / s.limit // one more in each quoted time of full use, however short the answers
+		s.limit += part / s.limit / 2 // one more in two quoted times of full use, however short the answers
 	}
 }
 
