Answer a ticket whose last try comes too late, and count queues as they are

Found by the plain model: a ticket pushed out of a queue could go out with no time left. A ticket of an offering without credit is now called from the queue like any other.

--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -87,7 +87,8 @@
 	if first := slices.IndexFunc(r.pushes, func(p sent) bool { return p.ran }); first >= 0 {
 		p, o := r.pushes[first], r.offering
 		was := w.fleet[p.server]
-		within := o.Group == GroupAll || o.Group == GroupZone && was.Zone == s.Zone || o.Group == GroupCell && was.Cell == s.Cell
+		within := o.Group == GroupAll || o.Group == GroupZone && was.Zone == s.Zone ||
+			o.Group == GroupCell && was.Cell == s.Cell
 		if o.Repeats == AtMostOnce || o.Repeats == Numbered && (!within || w.now > p.at+o.Window) {
 			w.fail("rule 2: pushed again outside its group or window")
 		}
@@ -121,7 +122,8 @@
 	span := float64(c.FallWindow) / float64(Second)
 	share := c.ColdShare + (1-c.ColdShare)*float64(w.now-s.Started)/float64(c.ColdTime)
 	// A rate that forgets over three seconds is at most 1.2 times its busiest second.
-	most := 1 + span*(1/float64(c.Sidecars)+c.FallMultiple*share*0.25*1.2*float64(peak)/float64(max(1, w.fewest)))
+	rate := 1.2 * float64(peak) / float64(max(1, w.fewest))
+	most := 1 + span*(1/float64(c.Sidecars)+c.FallMultiple*share*0.25*rate)
 	n := 0
 	for _, at := range w.colds[id] {
 		if at > w.now-c.FallWindow {
@@ -286,10 +288,10 @@
 			CrossPrice: 0.1 * float64(r.Intn(2)), Tick: 5 * Millisecond, ColdShare: 0.1 + r.Float64()/4,
 			ColdTime: 20 * Second, FallMultiple: 3, FallWindow: Second, Offerings: []Offering{
 				{Name: "r", Credit: 5, Quoted: Second / 2},
-				{Name: "n", Credit: 3, LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Window: Second / 2},
-				{Name: "z", Credit: 3, LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Group: GroupZone, Window: Second / 2},
-				{Name: "c", Credit: 3, LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Group: GroupCell, Window: Second},
-				{Name: "o", Credit: 3, LateCredit: 0.2, Quoted: Second / 2, Repeats: AtMostOnce}}}}
+				{Name: "n", LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Window: Second / 2},
+				{Name: "z", LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Group: GroupZone, Window: Second / 2},
+				{Name: "c", LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Group: GroupCell, Window: Second},
+				{Name: "o", LateCredit: 0.2, Quoted: Second / 2, Repeats: AtMostOnce}}}}
 	w.start()
 	for end := w.now + 20*Second; w.now < end && w.broken == ""; {
 		next := w.now + Time(w.Int63n(int64(20*Millisecond)))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,25 +16,31 @@
 )
 
 const (
-	slotsPerServer     = 100         // the design's figure, at least
-	leastSlots         = 2048        // so that fleets of up to 20 agree on the table's size
-	layoutSeed         = 0x70657070  // fixed: every sidecar lays out the same table
-	holdTime           = 30 * Second // a server listed gone keeps its slots this long
-	inRow              = 3           // failures in a row that set a server aside
-	skipFirst          = 2 * Second  // first time aside; doubled on each relapse
-	skipMost           = 16 * Second // longest time aside
-	spillMargin        = 2           // free places, or fewer of our pushes, that a spill must find
-	firstLimit         = 2           // pushes out to a server of which nothing is known yet
-	roomy, crowded     = 0.2, 0.4    // answer time from unloaded to quoted: more may go out, less must
-	shortOfHit         = 0.25        // a cold server does up to four times the work: it remembers no keys
-	pushCredit         = 0.1         // further pushes earned by each honoured ticket
-	pushCreditMost     = 20          // further pushes that may be saved up
-	splitWorth         = 5           // load a unit of price from which a shared cache is worth crossings
-	leanEvery          = Second / 4
-	leanAway, leanBack = 0.15, 0.05 // load of near servers beyond far ones' at which fewer, more keys stay near
-	repeatValue        = 0.5        // a client's repeat has used up part of its quoted time
-	firstWait          = 1.25       // part of the quoted time that a first push may take
-	sweepTicks         = 2          // ticks between looks at waiting tickets
+	slotsPerServer = 100         // the design's figure, at least
+	leastSlots     = 2048        // so that fleets of up to 20 agree on the table's size
+	layoutSeed     = 0x70657070  // fixed: every sidecar lays out the same table
+	holdTime       = 30 * Second // a server listed gone keeps its slots this long
+	inRow          = 3           // failures in a row that set a server aside
+
+	// Time aside, doubled on each relapse.
+	skipFirst, skipMost = 2 * Second, 16 * Second
+
+	firstLimit  = 2    // pushes out to a server of which nothing is known yet
+	spillMargin = 2    // free places, or fewer of our pushes, that a spill must find
+	shortOfHit  = 0.25 // a cold server does up to four times the work: it remembers no keys
+	repeatValue = 0.5  // a client's repeat has used up part of its quoted time
+	firstWait   = 1.25 // part of the quoted time that a first push may take
+	sweepTicks  = 2    // ticks between looks at waiting tickets
+
+	// Load (unloaded 0, at the quoted time 1) under which more may go out, and over which less must.
+	roomy, crowded = 0.2, 0.4
+	// Further pushes earned by an honoured ticket, and saved up at most.
+	pushCredit, pushCreditMost = 0.1, 20
+
+	leanEvery  = Second / 4
+	splitWorth = 5 // load, for a crossing price of one, from which a shared cache is worth crossings
+	// Load of near servers beyond far ones' at which fewer keys stay near, and more.
+	leanAway, leanBack = 0.15, 0.05
 )
 
 // New starts an instance.
@@ -278,23 +284,24 @@
 	if t := b.held(h); t != nil {
 		slack := b.campaign.Offerings[t.offering].Quoted - Time(b.usual[t.offering])
 		t.waitTill = min(t.arrived+slack, t.cutOff-b.margin())
-		b.place(now, t)
+		b.place(now, t, false)
 		b.wake()
 	}
 }
 
 func (b *Balancer) margin() Time { return (sweepTicks + 1) * b.campaign.Tick }
 
-// place pushes the ticket, lets it wait, or answers it.
-func (b *Balancer) place(now Time, t *ticket) {
+// place pushes the ticket, lets it wait, or answers it. A last try goes to any server with room rather than
+// be turned back: a hot key fills its home, and the queue there, while most servers are idle.
+func (b *Balancer) place(now Time, t *ticket, last bool) {
 	to := int32(-1)
 	if now < t.cutOff-b.margin() {
-		to = b.choose(now, t, false)
+		to = b.choose(now, t, last)
 	}
 	switch {
 	case to >= 0:
 		b.push(now, t, to)
-	case now >= t.waitTill:
+	case last || now >= t.waitTill:
 		b.refuse(now, t)
 	default:
 		b.enqueue(now, t)
@@ -303,50 +310,34 @@
 
 // enqueue lets the ticket wait for its home, unless the wait would end in no answer.
 func (b *Balancer) enqueue(now Time, t *ticket) {
-	room, waiting := 2.0, 0
+	room, waiting, worst, value := 2.0, 0, -1, t.value
 	if t.home >= 0 {
-		s := &b.servers[t.home]
-		room = max(room, s.served.now(now)*float64(t.waitTill-now)/float64(Second)*0.5)
-		waiting = s.waiting
+		rate := b.servers[t.home].served.now(now)
+		room = max(room, rate*float64(t.waitTill-now)/float64(Second)*0.5)
 	}
-	if float64(waiting) >= room {
-		worst, value := -1, t.value
-		for i, place := range b.queue {
-			if o := &b.slab[place]; o.home == t.home && o.value < value {
+	for i, place := range b.queue {
+		if o := &b.slab[place]; o.home == t.home {
+			waiting++
+			if o.value < value {
 				worst, value = i, o.value
 			}
 		}
+	}
+	if float64(waiting) >= room {
 		if worst < 0 {
-			b.lastResort(now, t)
+			b.place(now, t, true)
 			return
 		}
 		place := b.queue[worst]
 		b.unqueue(worst)
-		b.lastResort(now, &b.slab[place])
+		b.place(now, &b.slab[place], true)
 	}
 	t.queued, t.next = true, (*Balancer).called
-	if t.home >= 0 {
-		b.servers[t.home].waiting++
-	}
 	b.queue = append(b.queue, t.place)
 }
 
-// lastResort pushes to any server with room rather than turn back: a hot key fills its home and the queue
-// there while most servers are idle.
-func (b *Balancer) lastResort(now Time, t *ticket) {
-	if to := b.choose(now, t, true); to >= 0 {
-		b.push(now, t, to)
-	} else {
-		b.refuse(now, t)
-	}
-}
-
 func (b *Balancer) unqueue(i int) {
-	t := &b.slab[b.queue[i]]
-	t.queued = false
-	if t.home >= 0 {
-		b.servers[t.home].waiting--
-	}
+	b.slab[b.queue[i]].queued = false
 	b.queue = slices.Delete(b.queue, i, i+1)
 }
 
@@ -434,7 +425,7 @@
 		// Further pushes are earned by honoured ones, so that failures cannot feed an overload.
 		b.pushes--
 	}
-	b.place(n.now, t)
+	b.place(n.now, t, false)
 }
 
 // refuse answers at once: turned back where the client may safely come again, else given up.
@@ -563,11 +554,7 @@
 	if now < s.asideTill || s.trickle > 0 && s.out >= s.trickle {
 		return false
 	}
-	if b.cold(now, s) {
-		b.save(now, s)
-		return s.budget >= 1
-	}
-	return true
+	return !b.cold(now, s) || b.save(now, s) >= 1
 }
 
 func (b *Balancer) cold(now Time, s *server) bool {
@@ -577,7 +564,7 @@
 // save lets a cold server's budget grow by what it is sure to carry. Every sidecar allows it the same
 // part of what its own pushes to warm servers show them to bear, so that all parts together stay within
 // the multiple without any sidecar knowing of another. Unremembered keys are counted at their full work.
-func (b *Balancer) save(now Time, s *server) {
+func (b *Balancer) save(now Time, s *server) float64 {
 	c := b.campaign
 	rate, warm := 0.0, 0.0
 	for i := range b.servers {
@@ -593,6 +580,7 @@
 	}
 	s.budget = min(1, s.budget+grow*float64(now-s.budgetAt)/float64(Second))
 	s.budgetAt = now
+	return s.budget
 }
 
 // drainAll gives every server's free places to waiting tickets.
@@ -607,7 +595,7 @@
 func (b *Balancer) drain(now Time, p int32) {
 	s := &b.servers[p]
 	for len(b.queue) > 0 && b.room(s) && s.Standing == Ready && b.usable(now, s) {
-		best, score := -1, 0.0
+		best, score := -1, -1.0
 		for i, place := range b.queue {
 			t := &b.slab[place]
 			v := t.value
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -85,7 +85,8 @@
 		}
 	}
 	for _, s := range b.servers {
-		if want := float64(len(b.table)) * s.Weight / total; s.inTable && (float64(s.slots) < want-1 || float64(s.slots) > want+1) {
+		want := float64(len(b.table)) * s.Weight / total
+		if s.inTable && (float64(s.slots) < want-1 || float64(s.slots) > want+1) {
 			t.Errorf("server %d has %d slots, want about %.1f", s.ID, s.slots, want)
 		}
 	}
@@ -237,6 +238,31 @@
 	}
 }
 
+// nord-energi rough-1: a hot key's tickets were turned back at its full home while others had room.
+func TestLastResortGoesWhereThereIsRoom(t *testing.T) {
+	b, q := started(fleet(3, "a"))
+	for i := range b.servers {
+		b.servers[i].ratio = 0.6
+	}
+	for range 8 {
+		b.Begin(2*Second, b.Admit(2*Second, 0, NoFranchise, "hot", false, Second))
+	}
+	if len(q.to) != 3*firstLimit || q.back != 0 {
+		t.Errorf("%d pushed, %d turned back", len(q.to), q.back)
+	}
+}
+
+// nord-energi, bursts: limits grown by short answers choked every server once a burst came.
+func TestLimitsGrowByQuotedTime(t *testing.T) {
+	b, q := started(fleet(1, "a"))
+	for i := range 100 {
+		push(b, q, 2*Second+Time(i)*10*Millisecond, fmt.Sprint(i), Honoured, 10*Millisecond)
+	}
+	if l := b.servers[0].limit; l > firstLimit+1 {
+		t.Errorf("limit %.1f after a second", l)
+	}
+}
+
 // nord-energi i9d3343: near servers were flooded by their own zone's sidecars while far ones idled.
 func TestLoadedNearSideGivesKeysAway(t *testing.T) {
 	q := &quiet{}
--- a/policy/state.go
+++ b/policy/state.go
@@ -11,7 +11,6 @@
 	leftAt        Time // when it was heard to be gone
 	seen          uint32
 	out           int
-	waiting       int     // tickets waiting for it
 	limit         float64 // pushes that may be out to it
 	ratio         float64 // mean of answer time over quoted time
 	cutAt         Time
