--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,6 @@
 	spillMargin = 2    // free places, or fewer of our pushes, that a spill must find
 	shortOfHit  = 0.25 // a cold server does up to four times the work: it remembers no keys
 	repeatValue = 0.5  // a client's repeat has used up part of its quoted time
-	regained    = 0.7  // part of what a server bore before a trouble that is regained fast
 	firstWait   = 1.25 // part of the quoted time that a first push may take
 	sweepTicks  = 2    // ticks between looks at waiting tickets
 
@@ -658,11 +657,7 @@
 	case load > crowded:
 		b.cut(now, s, max(0.5, crowded/load))
 	case load < roomy && float64(s.out+2) >= s.limit:
-		// One more in two quoted times of full use, however short the answers; eight times as fast up to what
-		// it bore before the last trouble, so that recovery is prompt.
-		if s.limit += part / s.limit / 2; s.limit < regained*s.bore {
-			s.limit += 3.5 * part / s.limit
-		}
+		s.limit += part / s.limit / 2 // one more in two quoted times of full use, however short the answers
 	}
 }
 
@@ -672,9 +667,6 @@
 // cut lowers a server's limit, once for each burst of bad news.
 func (b *Balancer) cut(now Time, s *server, to float64) {
 	if now-s.cutAt >= 200*Millisecond {
-		if now-s.cutAt > 2*Second {
-			s.bore = s.limit
-		}
 		s.cutAt, s.limit = now, max(1, s.limit*to)
 	}
 }
