--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,7 @@
 	sweepTicks  = 2    // ticks between looks at waiting tickets
 
 	// Load (unloaded 0, at the quoted time 1) under which more may go out, and over which less must.
-	roomy, crowded = 0.2, 0.7
+	roomy, crowded = 0.2, 0.55
 	// Further pushes earned by an honoured ticket, and saved up at most.
 	pushCredit, pushCreditMost = 0.1, 20
 
