--- a/policy/policy.go
+++ b/policy/policy.go
@@ -658,8 +658,6 @@
 		b.cut(now, s, max(0.5, crowded/load))
 	case load < roomy && float64(s.out+2) >= s.limit:
 		s.limit += part / s.limit / 2 // one more in two quoted times of full use, however short the answers
-	case float64(s.out+2) < s.limit:
-		s.limit = max(firstLimit, s.limit-part/s.limit/2) // unused room lets a surge choke the server
 	}
 }
 
