--- a/policy/policy.go
+++ b/policy/policy.go
@@ -662,9 +662,7 @@
 }
 
 // load is how far a server's answer times are from the unloaded (0) to the quoted time (1).
-func (b *Balancer) load(s *server) float64 {
-	return (s.ratio - b.calm) / max(0.2, min(1-b.calm, 4*b.calm))
-}
+func (b *Balancer) load(s *server) float64 { return (s.ratio - b.calm) / max(0.2, 1-b.calm) }
 
 // cut lowers a server's limit, once for each burst of bad news.
 func (b *Balancer) cut(now Time, s *server, to float64) {
