--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,8 +32,8 @@
 	firstWait   = 1.25 // part of the quoted time that a first push may take
 	sweepTicks  = 2    // ticks between looks at waiting tickets
 
-	// Load (unloaded 0, at the quoted time 1) under which more may go out, and over which less must.
-	roomy, crowded = 0.2, 0.55
+	// Load, in quoted times, under which more may go out, and over which less must.
+	roomy, crowded = 0.15, 0.37
 	// Further pushes earned by an honoured ticket, and saved up at most.
 	pushCredit, pushCreditMost = 0.1, 20
 
@@ -661,8 +661,8 @@
 	}
 }
 
-// load is how far a server's answer times are from the unloaded (0) to the quoted time (1).
-func (b *Balancer) load(s *server) float64 { return (s.ratio - b.calm) / max(0.2, 1-b.calm) }
+// load is the part of the quoted time by which a server's answers exceed the unloaded ones.
+func (b *Balancer) load(s *server) float64 { return s.ratio - b.calm }
 
 // cut lowers a server's limit, once for each burst of bad news.
 func (b *Balancer) cut(now Time, s *server, to float64) {
