--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,7 @@
 	sweepTicks  = 2    // ticks between looks at waiting tickets
 
 	// Load, in quoted times, under which more may go out, and over which less must.
-	roomy, crowded = 0.15, 0.37
+	roomy, crowded = 0.15, 0.45
 	// Further pushes earned by an honoured ticket, and saved up at most.
 	pushCredit, pushCreditMost = 0.1, 20
 
