--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	spillMargin = 2    // free places, or fewer of our pushes, that a spill must find
 	shortOfHit  = 0.25 // a cold server does up to four times the work: it remembers no keys
 	repeatValue = 0.5  // a client's repeat has used up part of its quoted time
-	firstWait   = 1.25 // part of the quoted time that a first push may take
+	firstWait   = 2.0  // part of the quoted time that a first push may take
 	sweepTicks  = 2    // ticks between looks at waiting tickets
 
 	// Load, in quoted times, under which more may go out, and over which less must.
