--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	spillMargin = 2    // free places, or fewer of our pushes, that a spill must find
 	shortOfHit  = 0.25 // a cold server does up to four times the work: it remembers no keys
 	repeatValue = 0.5  // a client's repeat has used up part of its quoted time
+	firstWait   = 2.0  // part of the quoted time that a first push may take
 	sweepTicks  = 2    // ticks between looks at waiting tickets
 
 	// Load, in quoted times, under which more may go out, and over which less must.
@@ -351,7 +352,13 @@
 
 func (b *Balancer) push(now Time, t *ticket, to int32) {
 	s := &b.servers[to]
+	o := &b.campaign.Offerings[t.offering]
 	wait := t.cutOff - b.margin() - now
+	// A silent server must not hold a ticket that could still be honoured elsewhere; the saved pushes
+	// keep time-outs from feeding an overload.
+	if t.pushes+1 < b.campaign.MaxPushes && b.pushes >= 1 && o.Repeats != AtMostOnce {
+		wait = min(wait, max(Time(firstWait*float64(o.Quoted)), Time(6*b.usual[t.offering])))
+	}
 	if b.cold(now, s) {
 		s.budget--
 	}
