--- a/policy/policy.go
+++ b/policy/policy.go
@@ -667,7 +667,7 @@
 // cut lowers a server's limit, once for each burst of bad news.
 func (b *Balancer) cut(now Time, s *server, to float64) {
 	if now-s.cutAt >= 200*Millisecond {
-		s.cutAt, s.limit = now, max(2, s.limit*to)
+		s.cutAt, s.limit = now, max(1, s.limit*to)
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -233,7 +233,7 @@
 	for i := range 20 {
 		push(b, q, 2*Second+Time(i)*100*Millisecond, fmt.Sprint(i), Honoured, 900*Millisecond)
 	}
-	if l := b.servers[0].limit; l > 2.5 {
+	if l := b.servers[0].limit; l > 1.5 {
 		t.Errorf("limit %.1f after twenty crowded answers", l)
 	}
 }
