--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,7 +52,7 @@
 		b.usual[i] = float64(o.Quoted) / 4
 	}
 	if c.CrossPrice > 0 {
-		b.nearPart, b.nearAt = 1, now
+		b.nearPart, b.nearAt = min(1, 2*splitWorth*c.CrossPrice), now
 	}
 	if c.MustAsk {
 		// All sidecars may start at one time; asking at once would swamp the list's service.
