--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,8 +25,7 @@
 	// Time aside, doubled on each relapse.
 	skipFirst, skipMost = 2 * Second, 16 * Second
 
-	leastOut    = 4.0  // pushes that a server should have out from all sidecars, shared equally, at least
-	firstLimits = 2    // least limits that a server starts with, of which nothing is known yet
+	firstLimit  = 2    // pushes out to a server of which nothing is known yet
 	spillMargin = 2    // free places, or fewer of our pushes, that a spill must find
 	shortOfHit  = 0.25 // a cold server does up to four times the work: it remembers no keys
 	repeatValue = 0.5  // a client's repeat has used up part of its quoted time
@@ -97,7 +96,7 @@
 		}
 		p = int32(len(b.servers))
 		b.places[m.ID] = p
-		b.servers = append(b.servers, server{Member: m, seen: b.epoch, limit: firstLimits * b.least(), budgetAt: now})
+		b.servers = append(b.servers, server{Member: m, seen: b.epoch, limit: firstLimit, budgetAt: now})
 		b.join(p, listed)
 		return
 	}
@@ -109,7 +108,7 @@
 	}
 	if m.Started > s.Started {
 		// A restarted server is cold and knows no keys; what was learned of it is void.
-		s.limit, s.ratio, s.row, s.trickle, s.asideTill, s.skip = firstLimits*b.least(), 0, 0, 0, 0, 0
+		s.limit, s.ratio, s.row, s.trickle, s.asideTill, s.skip = firstLimit, 0, 0, 0, 0, 0
 		s.budget, s.budgetAt = 0, now
 	}
 	s.Member = m
@@ -381,7 +380,6 @@
 	}
 	t.out--
 	b.servers[p].out--
-	b.servers[p].pauseTill = now + Time(float64(spent)*(1/b.servers[p].limit-1))
 	b.judge(now, t, p, o, spent)
 	if over {
 		t.settle()
@@ -509,7 +507,7 @@
 			if !b.allowed(now, t, p) || !b.usable(now, s) && (pass < 2 || b.cold(now, s)) {
 				continue
 			}
-			if b.room(now, s) && (t.home < 0 || any || b.spills(t.home, s)) {
+			if b.room(s) && (t.home < 0 || any || b.spills(t.home, s)) {
 				return p
 			}
 			if t.home < 0 {
@@ -520,14 +518,7 @@
 	return -1
 }
 
-// room: under one, a limit is the part of the time in which a push may be out.
-func (b *Balancer) room(now Time, s *server) bool {
-	return float64(s.out) < s.limit && (s.limit >= 1 || now >= s.pauseTill)
-}
-
-// least is the lowest limit. Many sidecars at one push each would choke a server and keep it so; under
-// fewer than a few pushes from all together it would idle.
-func (b *Balancer) least() float64 { return min(1, leastOut/float64(b.campaign.Sidecars)) }
+func (b *Balancer) room(s *server) bool { return float64(s.out) < s.limit }
 
 // spills: home is at its limit; the other must hold less by the margin, or have that many places free. And it
 // must be roomy: a spilled key is not remembered there, and under load that work is taken from others.
@@ -603,7 +594,7 @@
 // then the oldest.
 func (b *Balancer) drain(now Time, p int32) {
 	s := &b.servers[p]
-	for len(b.queue) > 0 && b.room(now, s) && s.Standing == Ready && b.usable(now, s) {
+	for len(b.queue) > 0 && b.room(s) && s.Standing == Ready && b.usable(now, s) {
 		best, score := -1, -1.0
 		for i, place := range b.queue {
 			t := &b.slab[place]
@@ -666,7 +657,7 @@
 	case load > crowded:
 		b.cut(now, s, max(0.5, crowded/load))
 	case load < roomy && float64(s.out+2) >= s.limit:
-		s.limit += part / max(1, s.limit) / 2 // one more in two quoted times of full use, however short the answers
+		s.limit += part / s.limit / 2 // one more in two quoted times of full use, however short the answers
 	}
 }
 
@@ -676,7 +667,7 @@
 // cut lowers a server's limit, once for each burst of bad news.
 func (b *Balancer) cut(now Time, s *server, to float64) {
 	if now-s.cutAt >= 200*Millisecond {
-		s.cutAt, s.limit = now, max(b.least(), s.limit*to)
+		s.cutAt, s.limit = now, max(1, s.limit*to)
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -247,7 +247,7 @@
 	for range 8 {
 		b.Begin(2*Second, b.Admit(2*Second, 0, NoFranchise, "hot", false, Second))
 	}
-	if len(q.to) != 3*firstLimits || q.back != 0 {
+	if len(q.to) != 3*firstLimit || q.back != 0 {
 		t.Errorf("%d pushed, %d turned back", len(q.to), q.back)
 	}
 }
@@ -258,7 +258,7 @@
 	for i := range 100 {
 		push(b, q, 2*Second+Time(i)*10*Millisecond, fmt.Sprint(i), Honoured, 10*Millisecond)
 	}
-	if l := b.servers[0].limit; l > firstLimits+1 {
+	if l := b.servers[0].limit; l > firstLimit+1 {
 		t.Errorf("limit %.1f after a second", l)
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,7 +13,6 @@
 	out           int
 	limit         float64 // pushes that may be out to it
 	ratio         float64 // mean of answer time over quoted time
-	pauseTill     Time    // with a limit under one: when the next push may go out
 	cutAt         Time
 	row           int    // failures in a row
 	rowKey        uint64 // key of the last of them
