--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,7 @@
 	pushCredit, pushCreditMost = 0.1, 20
 
 	crawlTime  = 5 * Second // at the least limit and crowded, before a server may rest
-	restTime   = 4 * Second // one rest
+	restTime   = 8 * Second // one rest
 	leanEvery  = Second / 4
 	splitWorth = 5 // load, for a crossing price of one, from which a shared cache is worth crossings
 	// Load of near servers beyond far ones' at which fewer keys stay near, and more.
