--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,8 +37,6 @@
 	// Further pushes earned by an honoured ticket, and saved up at most.
 	pushCredit, pushCreditMost = 0.1, 20
 
-	crawlTime  = 5 * Second // at the least limit and crowded, before a server may rest
-	restTime   = 8 * Second // one rest
 	leanEvery  = Second / 4
 	splitWorth = 5 // load, for a crossing price of one, from which a shared cache is worth crossings
 	// Load of near servers beyond far ones' at which fewer keys stay near, and more.
@@ -553,18 +551,12 @@
 }
 
 func (b *Balancer) usable(now Time, s *server) bool {
-	if now < s.asideTill || s.trickle > 0 && s.out >= s.trickle || b.resting(now, s) {
+	if now < s.asideTill || s.trickle > 0 && s.out >= s.trickle {
 		return false
 	}
 	return !b.cold(now, s) || b.save(now, s) >= 1
 }
 
-// resting lets a server that has crawled for long at the least limit be idle for a spell in three: it may
-// have choked, and stays slow until all sidecars leave it alone at one time. So the spells go by id and time.
-func (b *Balancer) resting(now Time, s *server) bool {
-	return s.crawlsSince > 0 && now-s.crawlsSince > crawlTime && (now/restTime+Time(s.ID))%3 == 0
-}
-
 func (b *Balancer) cold(now Time, s *server) bool {
 	return s.Started > 0 && now < s.Started+b.campaign.ColdTime
 }
@@ -661,9 +653,6 @@
 	} else {
 		b.calm += 0.0005 * (s.ratio - b.calm)
 	}
-	if b.load(s) < crowded || s.limit > 1 {
-		s.crawlsSince = now
-	}
 	switch load := b.load(s); {
 	case load > crowded:
 		b.cut(now, s, max(0.5, crowded/load))
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,7 +13,6 @@
 	out           int
 	limit         float64 // pushes that may be out to it
 	ratio         float64 // mean of answer time over quoted time
-	crawlsSince   Time    // last answer that was not crowded, or had more than the least out
 	cutAt         Time
 	row           int    // failures in a row
 	rowKey        uint64 // key of the last of them
