--- a/policy/policy.go
+++ b/policy/policy.go
@@ -601,6 +601,8 @@
 			v := t.value
 			if t.home == p {
 				v *= 1e6
+			} else if t.home >= 0 && !b.spills(t.home, s) {
+				continue
 			}
 			if v > score && b.allowed(now, t, p) {
 				best, score = i, v
