--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -242,7 +242,7 @@
 func TestLastResortGoesWhereThereIsRoom(t *testing.T) {
 	b, q := started(fleet(3, "a"))
 	for i := range b.servers {
-		b.servers[i].ratio = 0.6
+		b.servers[i].ratio = 0.45
 	}
 	for range 8 {
 		b.Begin(2*Second, b.Admit(2*Second, 0, NoFranchise, "hot", false, Second))
