--- a/policy/policy.go
+++ b/policy/policy.go
@@ -507,7 +507,7 @@
 			if !b.allowed(now, t, p) || !b.usable(now, s) && (pass < 2 || b.cold(now, s)) {
 				continue
 			}
-			if b.room(s) && (t.home < 0 || any && b.load(s) < crowded/2 || b.spills(t.home, s)) {
+			if b.room(s) && (t.home < 0 || any && b.load(s) < crowded || b.spills(t.home, s)) {
 				return p
 			}
 			if t.home < 0 {
