--- a/internal/simwire/start.go
+++ b/internal/simwire/start.go
@@ -106,7 +106,6 @@
 		ColdShare:    p.real("rules.cold_from"),
 		ColdTime:     p.span("rules.cold_s"),
 		FallMultiple: p.real("rules.fall_multiple"),
-		FallWindow:   p.span("rules.fall_s"),
 	}
 	if c.MustAsk {
 		c.MustAskIn = p.span("rules.must_ask_in_s")
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -119,14 +119,13 @@
 		}
 		peak = max(peak, n)
 	}
-	span := float64(c.FallWindow) / float64(Second)
 	share := c.ColdShare + (1-c.ColdShare)*float64(w.now-s.Started)/float64(c.ColdTime)
 	// A rate that forgets over three seconds is at most 1.2 times its busiest second.
 	rate := 1.2 * float64(peak) / float64(max(1, w.fewest))
-	most := 1 + span*(1/float64(c.Sidecars)+c.FallMultiple*share*0.25*rate)
+	most := 1 + (1/float64(c.Sidecars) + c.FallMultiple*share*0.25*rate)
 	n := 0
 	for _, at := range w.colds[id] {
-		if at > w.now-c.FallWindow {
+		if at > w.now-Second {
 			n++
 		}
 	}
@@ -286,7 +285,7 @@
 			Sidecars: 1 + r.Intn(4), Zone: "a", Franchises: []Franchise{{"x", 20}, {"y", 20}}, BeyondCredit: 0.05,
 			MustAsk: r.Intn(2) == 0, MustAskIn: 10 * Second, MayCancel: true, MaxPushes: 3, Advice: Second,
 			CrossPrice: 0.1 * float64(r.Intn(2)), Tick: 5 * Millisecond, ColdShare: 0.1 + r.Float64()/4,
-			ColdTime: 20 * Second, FallMultiple: 3, FallWindow: Second, Offerings: []Offering{
+			ColdTime: 20 * Second, FallMultiple: 3, Offerings: []Offering{
 				{Name: "r", Credit: 5, Quoted: Second / 2},
 				{Name: "n", LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Window: Second / 2},
 				{Name: "z", LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Group: GroupZone, Window: Second / 2},
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -715,13 +715,17 @@
 			count[side]++
 		}
 	}
-	if count[0] > 0 && count[1] > 0 {
+	if was := b.nearPart; count[0] > 0 && count[1] > 0 {
 		switch excess := load[1]/count[1] - load[0]/count[0]; {
 		case excess > leanAway, load[1]/count[1] > splitWorth*b.campaign.CrossPrice:
 			b.nearPart = max(0, b.nearPart-0.05)
 		case excess < leanBack:
 			b.nearPart = min(1, b.nearPart+0.01)
 		}
+		if (was > 0) != (b.nearPart > 0) {
+			b.front.Log(fmt.Sprintf("near first: %.2f of the keys, load near %.2f, far %.2f", b.nearPart,
+				load[1]/count[1], load[0]/count[0]))
+		}
 	}
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -118,7 +118,6 @@
 	ColdShare    float64
 	ColdTime     Time
 	FallMultiple float64
-	FallWindow   Time
 }
 
 // Front is what the module asks of its surroundings.
