--- /dev/null
+++ b/internal/campaign/campaign.go
@@ -0,0 +1,147 @@
+// Package campaign reads what an instance is told at its start, for every front alike: values under the paths
+// that they have as nested objects, as in offerings.0.name.
+package campaign
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"pepperlead/policy"
+)
+
+// Values gives what stands under each path, and keeps the first thing that was wrong.
+type Values struct {
+	Of  map[string]string
+	Err error
+}
+
+func (p *Values) fail(name, what string) {
+	if p.Err == nil {
+		p.Err = fmt.Errorf("%s: %s", name, what)
+	}
+}
+
+func (p *Values) Text(name string) string {
+	v, ok := p.Of[name]
+	if !ok {
+		p.fail(name, "missing")
+	}
+	return v
+}
+
+func (p *Values) Real(name string) float64 {
+	v := p.Text(name)
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
+		p.fail(name, v+" is not a number from 0 up")
+	}
+	return f
+}
+
+func (p *Values) Count(name string) int {
+	v := p.Text(name)
+	n, err := strconv.ParseUint(v, 10, 16)
+	if err != nil {
+		p.fail(name, v+" is not a count")
+	}
+	return int(n)
+}
+
+func (p *Values) Span(name string) policy.Time {
+	t, err := Span(name, p.Text(name))
+	if err != nil {
+		p.fail(name, err.Error())
+	}
+	return t
+}
+
+func (p *Values) Yes(name string) bool {
+	b, err := Boolean(name, p.Text(name))
+	if err != nil {
+		p.fail(name, err.Error())
+	}
+	return b
+}
+
+// oneOf gives the place of the value among the words.
+func (p *Values) OneOf(name string, words ...string) int {
+	v := p.Text(name)
+	for i, w := range words {
+		if w == v {
+			return i
+		}
+	}
+	p.fail(name, v+" is not served")
+	return 0
+}
+
+// Read decodes the values that decisions are made by.
+func Read(p *Values) (*policy.Campaign, error) {
+	c := &policy.Campaign{
+		Sidecars:     max(1, p.Count("balancers")),
+		Zone:         policy.Zone(p.Text("zone")),
+		Zones:        1 + strings.Count(p.Text("zones"), ","),
+		Weighted:     p.OneOf("weight_kind", "nominal", "rough", "silent", "live") < 2,
+		MustAsk:      p.OneOf("membership_mode", "pushed", "on_request") == 1,
+		MayCancel:    p.Yes("limits.cancel"),
+		MaxPushes:    max(1, p.Count("limits.max_pushes")),
+		CrossPrice:   p.Real("prices.cross_zone"),
+		Tick:         p.Span("tick_s"),
+		ColdShare:    p.Real("rules.cold_from"),
+		ColdTime:     p.Span("rules.cold_s"),
+		FallMultiple: p.Real("rules.fall_multiple"),
+	}
+	if c.MustAsk {
+		c.MustAskIn = p.Span("rules.must_ask_in_s")
+	}
+	if p.Yes("limits.retry_after") {
+		c.Advice = p.Span("limits.max_retry_after_s")
+	}
+	for n := range p.Count("offerings.count") {
+		at := "offerings." + strconv.Itoa(n) + "."
+		o := policy.Offering{
+			Name:       p.Text(at + "name"),
+			Credit:     p.Real(at + "credit"),
+			LateCredit: p.Real(at + "overdue_credit"),
+			Quoted:     p.Span(at + "quoted_time_s"),
+			Repeats:    policy.Repeats(p.OneOf(at+"idempotency", "retryable", "dedup", "fragile")),
+		}
+		if o.Repeats == policy.Numbered {
+			o.Group = policy.Group(p.OneOf(at+"group", "all", "zone", "cell"))
+			o.Window = p.Span(at + "window_s")
+		}
+		c.Offerings = append(c.Offerings, o)
+	}
+	if v, ok := p.Of["realms.count"]; ok && strings.Trim(v, "0") != "" {
+		c.BeyondCredit = p.Real("beyond_share_credit")
+		for n := range p.Count("realms.count") {
+			at := "realms." + strconv.Itoa(n) + "."
+			f := policy.Franchise{Name: p.Text(at + "name"), Quota: p.Real(at + "quota_per_s")}
+			c.Quotas += f.Quota
+			c.Franchises = append(c.Franchises, f)
+		}
+	}
+	return c, p.Err
+}
+
+// Span reads seconds as whole nanoseconds.
+func Span(name, v string) (policy.Time, error) {
+	s, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(s) || s < 0 || s > 9e9 {
+		return 0, fmt.Errorf("%s=%s is not a time", name, v)
+	}
+	return policy.Time(math.Round(s * 1e9)), nil
+}
+
+// Boolean reads a yes or no.
+func Boolean(name, v string) (bool, error) {
+	switch v {
+	case "1", "true":
+		return true, nil
+	case "0", "false":
+		return false, nil
+	}
+	return false, fmt.Errorf("%s=%s is neither 1 nor 0", name, v)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,134 @@
+// Package daemon starts a sidecar from what it is told and ends it when it is told to.
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"pepperlead/internal/campaign"
+	"pepperlead/internal/proto"
+	"pepperlead/policy"
+)
+
+const (
+	bufferPart = 0.35                      // of the memory allowed, for messages in hand
+	heapPart   = 0.6                       // the garbage collector keeps the heap under it
+	leaveIn    = 3450 * policy.Millisecond // from SIGTERM to the last answer: SIGKILL may come 250 ms later
+)
+
+// Read makes a post of the configuration in the file, and of what the environment says of the same.
+func Read(path string, env func(string) string) (proto.Post, error) {
+	var post proto.Post
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return post, err
+	}
+	var told struct {
+		Listen, Discovery, Seed string
+		Limits                  struct {
+			Memory  float64 `json:"memory_mb"`
+			Sockets int
+		}
+		Known, Settings json.RawMessage
+	}
+	if err := json.Unmarshal(b, &told); err != nil {
+		return post, fmt.Errorf("%s: %w", path, err)
+	}
+	first := func(name, value string) string {
+		if v := env(name); v != "" {
+			return v
+		}
+		return value
+	}
+	post.Listen, post.Discovery = first("GW_LISTEN", told.Listen), first("GW_DISCOVERY", told.Discovery)
+	if post.Listen == "" || post.Discovery == "" {
+		return post, fmt.Errorf("%s: listen or discovery is missing", path)
+	}
+	if post.Seed, err = strconv.ParseUint(told.Seed, 16, 64); err != nil {
+		return post, fmt.Errorf("%s: seed: %q is not a hexadecimal number of 64 bits", path, told.Seed)
+	}
+	if told.Limits.Sockets < 48 || !(told.Limits.Memory >= 24) {
+		return post, fmt.Errorf("%s: limits: at least 48 sockets and 24 MB are needed", path)
+	}
+	values := &campaign.Values{Of: map[string]string{}}
+	if err := flatten(values.Of, "", told.Settings); err != nil {
+		return post, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	post.Descriptors = told.Limits.Sockets
+	post.Memory = int(told.Limits.Memory * (1 << 20))
+	post.ConnectIn = values.Span("limits.connect_timeout_s")
+	post.IdleFor = values.Span("limits.conn_idle_s")
+	post.Leave = leaveIn
+	post.Known = told.Known
+	if post.Campaign, err = campaign.Read(values); err != nil {
+		return post, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	return post, nil
+}
+
+// flatten gives each value its path, as the simulator's wire does.
+func flatten(to map[string]string, at string, raw json.RawMessage) error {
+	var object map[string]json.RawMessage
+	var list []json.RawMessage
+	var word string
+	switch v := strings.TrimSpace(string(raw)); {
+	case v == "" || v == "null":
+	case v[0] == '{':
+		if err := json.Unmarshal(raw, &object); err != nil {
+			return err
+		}
+		for name, of := range object {
+			if err := flatten(to, strings.TrimPrefix(at+"."+name, "."), of); err != nil {
+				return err
+			}
+		}
+	case v[0] == '[':
+		if err := json.Unmarshal(raw, &list); err != nil {
+			return err
+		}
+		to[at+".count"] = strconv.Itoa(len(list))
+		var words []string
+		for i, of := range list {
+			if err := flatten(to, at+"."+strconv.Itoa(i), of); err != nil {
+				return err
+			}
+			words = append(words, strings.ReplaceAll(to[at+"."+strconv.Itoa(i)], ",", "_"))
+		}
+		to[at] = strings.Join(words, ",")
+	case v[0] == '"':
+		if err := json.Unmarshal(raw, &word); err != nil {
+			return err
+		}
+		to[at] = word
+	default:
+		to[at] = v
+	}
+	return nil
+}
+
+// Serve runs a sidecar until it is told to end.
+func Serve(post proto.Post, log *logrus.Logger) error {
+	// One thread may stand in the kernel waiting for sockets while another works, also where there is one core: with
+	// one alone the loop would start only when the runtime notices, up to 10 ms later.
+	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
+	memory := float64(post.Memory)
+	debug.SetMemoryLimit(int64(memory * heapPart))
+	post.Memory = int(memory * bufferPart)
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	s := proto.New(post, log)
+	log.WithFields(logrus.Fields{"listen": post.Listen, "descriptors": post.Descriptors,
+		"memory_mb": int(memory) >> 20}).Info("serving")
+	err := s.Run(stop)
+	log.Info("end: " + strings.ReplaceAll(strings.TrimSpace(s.Report()), "\n", ", "))
+	return err
+}
--- /dev/null
+++ b/internal/proto/clients.go
@@ -0,0 +1,242 @@
+package proto
+
+import (
+	"fmt"
+
+	"pepperlead/internal/state"
+	"pepperlead/policy"
+)
+
+const (
+	requestIn  = 10 * policy.Second       // for a request to come whole once it has begun
+	flushEvery = 10 * policy.Millisecond  // between looks whether a last answer is out
+	lingerFor  = 300 * policy.Millisecond // for the client of a refused request to read why
+	flushIn    = 5 * policy.Second        // for a client to take a last answer
+)
+
+func (s *Sidecar) opened(now policy.Time, c *state.Conn) {
+	c.Up, c.Since = true, now
+	c.Timer.Do = func(now policy.Time) { s.clientDue(now, c) }
+	s.conns.Add(c)
+	s.Counters.ClientConns++
+	if s.conns.Clients > s.conns.MostClients {
+		// Clients open more and more connections while all are slow. One between requests may be closed; where none
+		// is, the newcomer is served as long as descriptors last.
+		if old := s.conns.Oldest(state.Client); old != nil && old != c {
+			s.Counters.ClientConnsCut++
+			s.close(old)
+		}
+	}
+}
+
+// fromClient takes the next request that is in whole. at: when its last byte came.
+func (s *Sidecar) fromClient(now, at policy.Time, c *state.Conn) {
+	for c.In != nil && c.Ticket == nil && !c.Last && !c.Dead {
+		n, method, target, head, body, last, fault := CutRequest(c.In.B)
+		switch {
+		case fault != 0:
+			s.bad(now, c, fault, "the request cannot be read\n")
+			return
+		case n == 0:
+			if !c.Timer.On() {
+				s.timers.Set(&c.Timer, now+requestIn)
+			}
+			if !c.Asked && Continues(c.In.B) {
+				c.Asked = true
+				s.write(c, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
+			return
+		}
+		s.timers.Stop(&c.Timer)
+		c.Asked = false
+		request := c.In
+		c.In = nil
+		if len(request.B) > n {
+			c.In = s.buffers.Get(len(request.B) - n)
+			c.In.B = append(c.In.B, request.B[n:]...)
+		}
+		s.request(now, at, c, request, method, target, head, body, last)
+	}
+	if c.Ticket != nil && c.In != nil && len(c.In.B) > state.Large {
+		s.close(c) // it goes on sending without waiting for answers
+	}
+}
+
+// request makes a ticket of a whole request, or answers it.
+func (s *Sidecar) request(now, at policy.Time, c *state.Conn, buf *state.Buffer, method, target, head, body []byte,
+	last bool) {
+	if target[1] == '_' && s.aside(now, c, target, last) {
+		s.buffers.Put(buf)
+		return
+	}
+	offering, known := s.offerings[string(class(target, head))]
+	left, timed := seconds(field(head, "X-Timeout"))
+	refuse := func(status int, why string) {
+		s.bad(now, c, status, why)
+		s.buffers.Put(buf)
+	}
+	switch string(method) {
+	case "GET", "POST", "PUT", "PATCH", "DELETE":
+	default:
+		refuse(400, "this method is not served\n")
+		return
+	}
+	switch {
+	case !known:
+		refuse(404, "no such offering\n")
+		return
+	case len(field(head, "X-Request-ID")) == 0 || !timed:
+		refuse(400, "X-Request-ID or X-Timeout is missing\n")
+		return
+	case s.post.Campaign.Offerings[offering].Repeats == policy.Numbered && field(head, "Idempotency-Key") == nil:
+		refuse(400, "Idempotency-Key is missing\n")
+		return
+	case s.buffers.Full():
+		// Out of room: an answer costs nothing, the ticket might cost the process.
+		s.Counters.Overflow++
+		s.buffers.Put(buf)
+		s.own(now, c, 503, "out of room\n", 0, last)
+		return
+	}
+	franchise, known := s.franchises[string(field(head, "X-Tenant-Id"))]
+	if !known {
+		franchise = policy.NoFranchise
+	}
+	left -= now - at
+	if s.leaving {
+		left = min(left, s.leaveBy-now)
+	}
+	t := s.tickets.Take()
+	if t.Wait.Do == nil {
+		t.Wait.Do = func(now policy.Time) { s.timedOut(now, t) }
+	}
+	t.Client, t.Request, t.Method, t.Target, t.Head, t.Body, t.Last = c, buf, method, target, head, body, last
+	c.Ticket = t
+	s.Counters.Tickets++
+	h := s.module.Admit(now, offering, franchise, text(field(head, "X-Route-Key")),
+		string(field(head, "X-Retried")) == "1", max(0, left))
+	s.tickets.Bind(t, h)
+	s.module.Begin(now, h)
+}
+
+// aside answers what is asked of the sidecar itself.
+func (s *Sidecar) aside(now policy.Time, c *state.Conn, target []byte, last bool) bool {
+	switch string(target) {
+	case "/_health":
+		if s.list.heard {
+			s.own(now, c, 200, "ready\n", 0, last)
+		} else {
+			s.own(now, c, 503, "no list of servers yet\n", 0, last)
+		}
+	case "/_counters":
+		s.own(now, c, 200, s.Report(), 0, last)
+	default:
+		return false
+	}
+	return true
+}
+
+// Report is the counters, and what is held now.
+func (s *Sidecar) Report() string {
+	return s.Counters.String() + fmt.Sprintf("tickets_in_hand %d\nclient_connections_open %d\n"+
+		"server_connections_open %d\nbuffer_bytes_lent %d\ntimers_set %d\n", s.tickets.Held, s.conns.Clients,
+		s.conns.ToServers, s.buffers.Lent(), s.timers.Len())
+}
+
+// bad answers what cannot be served, and ends the connection: where the next request begins is not known.
+func (s *Sidecar) bad(now policy.Time, c *state.Conn, status int, why string) {
+	s.Counters.Bad++
+	s.own(now, c, status, why, 0, true)
+	s.timers.Set(&c.Timer, now+lingerFor)
+}
+
+// own sends an answer that no server made.
+func (s *Sidecar) own(now policy.Time, c *state.Conn, status int, body string, retryIn policy.Time, last bool) {
+	last = last || s.leaving
+	s.scratch = AppendOwn(s.scratch[:0], status, body, retryIn, last)
+	s.write(c, s.scratch)
+	s.free(now, c, last)
+}
+
+// free lets a client's connection go on to its next request, or closes it once the answer is out.
+func (s *Sidecar) free(now policy.Time, c *state.Conn, last bool) {
+	c.Ticket, c.Since = nil, now
+	switch {
+	case last:
+		c.Last = true
+		s.buffers.Put(c.In)
+		c.In = nil
+		s.timers.Set(&c.Timer, now)
+	case c.In != nil:
+		s.again = append(s.again, c)
+	}
+}
+
+// clientDue is the one timer of a client's connection: for a request to come whole, then for the last answer to go.
+func (s *Sidecar) clientDue(now policy.Time, c *state.Conn) {
+	switch {
+	case c.Dead:
+	case !c.Last:
+		s.bad(now, c, 408, "the request came too slowly\n")
+	case c.Flushed() || now-c.Since > flushIn:
+		s.close(c)
+	default:
+		s.timers.Set(&c.Timer, now+flushEvery)
+	}
+}
+
+// answer takes the client off a ticket that is being answered; nil if it has left.
+func (s *Sidecar) answer(t *state.Ticket) *state.Conn {
+	c := t.Client
+	t.Client = nil
+	if c == nil || c.Dead {
+		s.Counters.Unsent++
+		return nil
+	}
+	return c
+}
+
+func (s *Sidecar) honour(now policy.Time, t *state.Ticket, _ step) {
+	if c := s.answer(t); c != nil {
+		s.Counters.Honoured++
+		last := t.Last || s.leaving
+		s.scratch = AppendHonour(s.scratch[:0], t.AnswerHead, len(t.AnswerBody), last)
+		if len(t.AnswerBody) <= state.Small {
+			s.scratch = append(s.scratch, t.AnswerBody...)
+			s.write(c, s.scratch)
+		} else {
+			s.write(c, s.scratch)
+			s.write(c, t.AnswerBody)
+		}
+		s.free(now, c, last)
+	}
+}
+
+func (s *Sidecar) turnBack(now policy.Time, t *state.Ticket, n step) {
+	if c := s.answer(t); c != nil {
+		s.Counters.TurnedBack++
+		s.own(now, c, 503, "turned back\n", n.span, t.Last)
+	}
+}
+
+func (s *Sidecar) giveUp(now policy.Time, t *state.Ticket, _ step) {
+	if c := s.answer(t); c != nil {
+		s.Counters.GivenUp++
+		s.own(now, c, 502, "given up\n", 0, t.Last)
+	}
+}
+
+// clientLeft is told that the client's connection is gone, and so its ticket over.
+func (s *Sidecar) clientLeft(now policy.Time, c *state.Conn) {
+	t := c.Ticket
+	if t == nil {
+		return
+	}
+	c.Ticket, t.Client = nil, nil
+	if !t.Settled {
+		s.Counters.Gone++
+		t.Settled = true
+		s.module.ClientLeft(now, t.Handle)
+	}
+	s.tidy(t)
+}
--- /dev/null
+++ b/internal/proto/link.go
@@ -0,0 +1,166 @@
+package proto
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+
+	"pepperlead/internal/state"
+	"pepperlead/policy"
+)
+
+// Clock gives Unix time, as the list's times are, but never goes back.
+type Clock struct{ start time.Time }
+
+func NewClock() Clock { return Clock{time.Now()} }
+
+func (c Clock) Now() policy.Time {
+	return policy.Time(c.start.UnixNano() + int64(time.Since(c.start)))
+}
+
+// happening is what a socket has to tell the loop.
+type happening uint8
+
+const (
+	opened happening = iota // by a client
+	connected
+	arrived // bytes
+	closed  // or never connected
+)
+
+type event struct {
+	what happening
+	conn *state.Conn
+	buf  *state.Buffer
+	at   policy.Time
+}
+
+// sockets serves all connections and queues what happens on them; the loop takes the queue.
+type sockets struct {
+	clock   Clock
+	buffers *state.Buffers
+	engine  *nbio.Engine
+	dialer  net.Dialer
+	mu      sync.Mutex
+	events  []event
+	spare   []event
+	signal  chan struct{}
+}
+
+// mostUnread is what one connection may have sent before the loop has looked at it: several times any message.
+const mostUnread = 512 << 10
+
+func newSockets(clock Clock, buffers *state.Buffers, listen string, descriptors int) *sockets {
+	s := &sockets{clock: clock, buffers: buffers, signal: make(chan struct{}, 1)}
+	logging.SetLevel(logging.LevelNone)
+	// nbio holds a table of this size.
+	nbio.MaxOpenFiles = descriptors + 64
+	s.engine = nbio.NewEngine(nbio.Config{Name: "sidecar", Network: "tcp", Addrs: []string{listen}, NPoller: 1,
+		// Told of edges alone, nbio never changes what it waits for: with levels it can forget, when a
+		// connection comes up, that bytes are still to be written.
+		EpollMod: nbio.EPOLLET})
+	s.engine.OnOpen(func(c *nbio.Conn) {
+		conn, dialled := c.Session().(*state.Conn)
+		if dialled {
+			s.post(event{what: connected, conn: conn})
+			return
+		}
+		conn = &state.Conn{Link: c, Side: state.Client}
+		c.SetSession(conn)
+		s.post(event{what: opened, conn: conn})
+	})
+	s.engine.OnRead(s.read)
+	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if conn, ok := c.Session().(*state.Conn); ok {
+			conn.Written.Add(int64(n))
+		}
+	})
+	s.engine.OnClose(func(c *nbio.Conn, _ error) {
+		if conn, ok := c.Session().(*state.Conn); ok {
+			s.post(event{what: closed, conn: conn})
+		}
+	})
+	// Out of descriptors, accepting fails at once and for ever: without a pause it would take the whole core.
+	s.engine.OnAcceptError(func(error) { time.Sleep(20 * time.Millisecond) })
+	return s
+}
+
+func (s *sockets) post(e event) {
+	e.at = s.clock.Now()
+	s.mu.Lock()
+	s.events = append(s.events, e)
+	s.mu.Unlock()
+	select {
+	case s.signal <- struct{}{}:
+	default:
+	}
+}
+
+// take gives what has happened since the last call; it is the caller's until the next.
+func (s *sockets) take() []event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.spare)
+	got := s.events
+	s.events, s.spare = s.spare[:0], got
+	return got
+}
+
+// read empties the socket; its end or error closes the connection after that, by nbio.
+func (s *sockets) read(c *nbio.Conn) {
+	conn, ok := c.Session().(*state.Conn)
+	if !ok {
+		return
+	}
+	for size := state.Small; ; size = state.Large {
+		buf := s.buffers.Get(size)
+		n, err := c.Read(buf.B[:cap(buf.B)])
+		if n <= 0 {
+			s.buffers.Put(buf)
+			if err == syscall.EINTR {
+				continue
+			}
+			return
+		}
+		buf.B = buf.B[:n]
+		// A peer that sends without end must not fill the memory before the loop comes to look.
+		if conn.Unread.Add(int64(n)) > mostUnread {
+			s.buffers.Put(buf)
+			c.Close()
+			return
+		}
+		s.post(event{what: arrived, conn: conn, buf: buf})
+		if n < cap(buf.B) {
+			return
+		}
+	}
+}
+
+// dial opens the connection and tells the loop; dialling waits in a goroutine, as nbio's own neither says which
+// connection failed nor lets one be told apart before it is up.
+func (s *sockets) dial(conn *state.Conn, addr string, within policy.Time) {
+	go func() {
+		d := net.Dialer{Timeout: time.Duration(within), KeepAlive: -1}
+		up, err := d.Dial("tcp", addr)
+		if err != nil {
+			s.post(event{what: closed, conn: conn})
+			return
+		}
+		link, err := nbio.NBConn(up)
+		if err != nil {
+			up.Close()
+			s.post(event{what: closed, conn: conn})
+			return
+		}
+		conn.Link = link
+		link.SetSession(conn)
+		if _, err := s.engine.AddConn(link); err != nil {
+			link.Close()
+			s.post(event{what: closed, conn: conn}) // told twice at the most, which is harmless
+		}
+	}()
+}
--- /dev/null
+++ b/internal/proto/pushes.go
@@ -0,0 +1,151 @@
+package proto
+
+import (
+	"pepperlead/internal/state"
+	"pepperlead/policy"
+)
+
+// push sends a ticket to a server, on a connection that stands idle or on a new one.
+func (s *Sidecar) push(now policy.Time, t *state.Ticket, n step) {
+	t.SentAt = now
+	server := s.conns.Servers[n.server]
+	if t.Settled || server == nil {
+		s.ended(now, t, policy.NotSent)
+		return
+	}
+	s.Counters.Pushes++
+	s.timers.Set(&t.Wait, now+n.span)
+	if idle := server.Idle; len(idle) > 0 {
+		c := idle[len(idle)-1]
+		server.Idle = idle[:len(idle)-1]
+		s.timers.Stop(&c.Timer)
+		s.Counters.Reused++
+		t.Push, c.Ticket = c, t
+		s.send(now, t)
+		return
+	}
+	if s.conns.ToServers >= s.conns.MostServers {
+		old := s.conns.Oldest(state.ToServer)
+		if old == nil {
+			// Every descriptor carries a push: nothing was sent, and that is no fault of the server.
+			s.ended(now, t, policy.NotSent)
+			return
+		}
+		s.close(old)
+	}
+	c := &state.Conn{Side: state.ToServer, Server: server, Ticket: t}
+	c.Timer.Do = func(policy.Time) { s.close(c) }
+	t.Push = c
+	s.conns.Add(c)
+	s.Counters.Dials++
+	s.sockets.dial(c, server.Addr, s.post.ConnectIn)
+}
+
+// connected is told that a connection to a server, or to the list, is up.
+func (s *Sidecar) connected(now policy.Time, c *state.Conn) {
+	switch {
+	case c.Side == state.ToList:
+		s.list.ask(now)
+	case c.Ticket != nil:
+		s.send(now, c.Ticket)
+	default:
+		s.park(now, c) // its ticket did not wait for it
+	}
+}
+
+// send writes the request. Nothing of it is sent again by itself.
+func (s *Sidecar) send(now policy.Time, t *state.Ticket) {
+	s.scratch = AppendPush(s.scratch[:0], t.Method, t.Target, t.Head, t.Body, t.Wait.At()-now)
+	s.write(t.Push, s.scratch)
+}
+
+// park keeps a connection for the next push to its server, but closes it well before the server would: what is
+// written as the server closes may have run or not.
+func (s *Sidecar) park(now policy.Time, c *state.Conn) {
+	if c.Server.Leaving {
+		s.close(c)
+		return
+	}
+	s.conns.Park(c, now)
+	s.timers.Set(&c.Timer, now+s.post.IdleFor*3/4)
+}
+
+// fromServer takes the answer once it is whole.
+func (s *Sidecar) fromServer(at policy.Time, c *state.Conn) {
+	t := c.Ticket
+	if t == nil {
+		s.close(c) // it says something unasked
+		return
+	}
+	n, status, head, body, stays, ok := CutAnswer(c.In.B, false, mostBody)
+	switch {
+	case !ok:
+		s.endPush(at, t, policy.ConnBroke, false)
+	case n > 0:
+		stays = stays && n == len(c.In.B) && c.Flushed()
+		s.take(t, c, head, body)
+		s.endPush(at, t, outcomeOf(status, head), stays)
+	}
+}
+
+// take moves the answer's buffer from the connection to the ticket.
+func (s *Sidecar) take(t *state.Ticket, c *state.Conn, head, body []byte) {
+	t.Answer, t.AnswerHead, t.AnswerBody = c.In, head, body
+	c.In = nil
+}
+
+// broke is told that a connection to a server has ended, or never came up.
+func (s *Sidecar) broke(at policy.Time, c *state.Conn) {
+	t := c.Ticket
+	if t == nil {
+		return
+	}
+	if !c.Up || !c.Flushed() {
+		s.endPush(at, t, policy.NotConnected, false)
+		return
+	}
+	if c.In != nil {
+		if n, status, head, body, _, ok := CutAnswer(c.In.B, true, mostBody); ok && n > 0 {
+			s.take(t, c, head, body)
+			s.endPush(at, t, outcomeOf(status, head), false)
+			return
+		}
+	}
+	s.endPush(at, t, policy.ConnBroke, false)
+}
+
+// timedOut is the end of a push's time. A request that has not been written whole is cut off with its connection, so
+// it never runs.
+func (s *Sidecar) timedOut(now policy.Time, t *state.Ticket) {
+	o := policy.TimedOut
+	if t.Push == nil || !t.Push.Up || !t.Push.Flushed() {
+		o = policy.NotConnected
+	}
+	s.endPush(now, t, o, false)
+}
+
+func (s *Sidecar) cancel(now policy.Time, t *state.Ticket, n step) {
+	if t.Push != nil && t.PushNo == n.push {
+		s.endPush(now, t, policy.CalledOff, false)
+	}
+}
+
+// endPush takes the push off its connection, which is kept or closed.
+func (s *Sidecar) endPush(at policy.Time, t *state.Ticket, o policy.Outcome, stays bool) {
+	if c := t.Push; c != nil {
+		t.Push, c.Ticket = nil, nil
+		switch {
+		case stays:
+			s.park(at, c)
+		case c.Up:
+			s.close(c)
+		}
+		// One that is not up yet carries nothing and is kept when it comes.
+	}
+	s.ended(at, t, o)
+}
+
+func (s *Sidecar) ended(at policy.Time, t *state.Ticket, o policy.Outcome) {
+	s.timers.Stop(&t.Wait)
+	s.ends = append(s.ends, end{t, o, max(0, at-t.SentAt)})
+}
--- /dev/null
+++ b/internal/proto/sidecar.go
@@ -0,0 +1,293 @@
+package proto
+
+import (
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pepperlead/internal/state"
+	"pepperlead/policy"
+)
+
+// Post is what a sidecar is told of its place: where it listens and asks, and what it may use.
+type Post struct {
+	Listen, Discovery string
+	Seed              uint64
+	Descriptors       int
+	Memory            int // bytes that messages in hand may take
+	ConnectIn         policy.Time
+	IdleFor           policy.Time // servers close connections that stood idle for so long
+	Leave             policy.Time // from the first sign of the end to the last answer
+	Campaign          *policy.Campaign
+	Known             []byte // a list saved earlier
+}
+
+// Sidecar is the front on sockets. Its loop owns the module and all state.
+type Sidecar struct {
+	post     Post
+	log      *logrus.Logger
+	clock    Clock
+	module   *policy.Balancer
+	sockets  *sockets
+	buffers  *state.Buffers
+	conns    *state.Conns
+	tickets  *state.Tickets
+	timers   *state.Timers
+	Counters state.Counters
+
+	offerings  map[string]policy.OfferingID
+	franchises map[string]policy.FranchiseID
+	steps      []step        // decided on by the module, to be carried out
+	ends       []end         // of pushes, to be told to the module
+	again      []*state.Conn // clients whose next request may be in already
+	scratch    []byte
+	wake       state.Timer
+	list       follower
+
+	leaving  bool
+	acceptTo policy.Time // until then new connections may come
+	leaveBy  policy.Time // the last answer must be out by then
+}
+
+// step is something that the module wants done.
+type step struct {
+	do     func(s *Sidecar, now policy.Time, t *state.Ticket, n step)
+	ticket *state.Ticket
+	server policy.ServerID
+	push   policy.PushNo
+	span   policy.Time
+}
+
+// end is how a push ended.
+type end struct {
+	ticket  *state.Ticket
+	outcome policy.Outcome
+	spent   policy.Time
+}
+
+// New makes a sidecar that does not serve yet.
+func New(post Post, log *logrus.Logger) *Sidecar {
+	s := &Sidecar{post: post, log: log, clock: NewClock(), buffers: &state.Buffers{Most: post.Memory},
+		conns: state.NewConns(post.Descriptors), tickets: &state.Tickets{}, timers: &state.Timers{},
+		offerings: map[string]policy.OfferingID{}, franchises: map[string]policy.FranchiseID{}}
+	for i, o := range post.Campaign.Offerings {
+		s.offerings[o.Name] = policy.OfferingID(i)
+	}
+	for i, f := range post.Campaign.Franchises {
+		s.franchises[f.Name] = policy.FranchiseID(i)
+	}
+	s.sockets = newSockets(s.clock, s.buffers, post.Listen, post.Descriptors)
+	s.wake.Do = func(now policy.Time) { s.module.Woken(now) }
+	s.list.init(s)
+	s.module = policy.New(s, post.Campaign, post.Seed, s.clock.Now())
+	return s
+}
+
+// Run serves until a signal comes and all in hand is answered.
+func (s *Sidecar) Run(stop <-chan os.Signal) error {
+	now := s.clock.Now()
+	if len(s.post.Known) > 0 {
+		// A saved list that cannot be read is no reason not to serve: discovery has a newer one.
+		if err := s.list.apply(now, s.post.Known, true); err != nil {
+			s.log.WithError(err).Warn("known list: left out")
+		}
+	}
+	if err := s.sockets.engine.Start(); err != nil {
+		return err
+	}
+	if !s.post.Campaign.MustAsk {
+		s.list.follow(now)
+	}
+	alarm := time.NewTimer(0)
+	for {
+		s.round(s.clock.Now())
+		if len(s.ends) > 0 || len(s.again) > 0 {
+			continue
+		}
+		if s.leaving && s.left(s.clock.Now()) {
+			return nil
+		}
+		pause := time.Hour
+		if at, any := s.timers.Next(); any {
+			pause = time.Duration(at - s.clock.Now())
+		}
+		alarm.Reset(pause)
+		select {
+		case <-s.sockets.signal:
+		case <-alarm.C:
+		case <-stop:
+			s.leave(s.clock.Now())
+		}
+	}
+}
+
+// round gathers what is ready, hands it to the module, and carries out what came back.
+func (s *Sidecar) round(now policy.Time) {
+	for _, e := range s.sockets.take() {
+		s.happened(now, e)
+		s.tell(now)
+	}
+	again := s.again
+	s.again = nil
+	for _, c := range again {
+		s.fromClient(now, now, c)
+	}
+	s.timers.Run(now)
+	s.tell(now)
+	for i := 0; i < len(s.steps); i++ {
+		n := s.steps[i]
+		n.do(s, now, n.ticket, n)
+		n.ticket.Pending--
+		s.tidy(n.ticket)
+	}
+	clear(s.steps)
+	s.steps = s.steps[:0]
+}
+
+func (s *Sidecar) happened(now policy.Time, e event) {
+	c := e.conn
+	switch e.what {
+	case opened:
+		s.opened(now, c)
+	case connected:
+		c.Up = true
+		if c.Dead {
+			c.Link.Close()
+			return
+		}
+		s.connected(now, c)
+	case arrived:
+		c.Unread.Add(-int64(len(e.buf.B)))
+		s.Counters.BytesIn += int64(len(e.buf.B))
+		if c.Dead || c.Last {
+			s.buffers.Put(e.buf)
+			return
+		}
+		c.In = s.buffers.Join(c.In, e.buf)
+		switch c.Side {
+		case state.Client:
+			s.fromClient(now, e.at, c)
+		case state.ToServer:
+			s.fromServer(e.at, c)
+		case state.ToList:
+			s.list.answered(now, c)
+		}
+	case closed:
+		s.closed(now, e.at, c)
+	}
+}
+
+// close ends a connection; closed, told of that later, gives back what it holds.
+func (s *Sidecar) close(c *state.Conn) {
+	if !c.Dead {
+		c.Dead = true
+		if c.Up {
+			c.Link.Close()
+		}
+	}
+}
+
+// closed gives back all that a connection held.
+func (s *Sidecar) closed(now, at policy.Time, c *state.Conn) {
+	if !s.conns.Remove(c) {
+		return
+	}
+	wasDead := c.Dead
+	c.Dead = true
+	switch c.Side {
+	case state.Client:
+		s.clientLeft(now, c)
+	case state.ToServer:
+		if !wasDead {
+			s.broke(at, c)
+		}
+	case state.ToList:
+		s.list.broke(now, c)
+	}
+	s.timers.Stop(&c.Timer)
+	s.buffers.Put(c.In)
+	c.In = nil
+}
+
+// write sends bytes on a connection. What the kernel does not take at once goes out later.
+func (s *Sidecar) write(c *state.Conn, b []byte) {
+	c.Queued += int64(len(b))
+	s.Counters.BytesOut += int64(len(b))
+	c.Link.Write(b) // a failure closes the connection, which is told like any other end
+}
+
+// tell hands the module the ends of pushes.
+func (s *Sidecar) tell(now policy.Time) {
+	for i := 0; i < len(s.ends); i++ {
+		e := s.ends[i]
+		t := e.ticket
+		s.Counters.Outcomes[e.outcome]++
+		t.Out = false
+		t.Pending++
+		s.module.PushEnded(now, t.Handle, t.PushNo, t.Server, e.outcome, e.spent, t.Settled)
+		t.Pending--
+		if !t.Settled || t.Pending == 0 {
+			s.buffers.Put(t.Answer)
+			t.Answer = nil
+		}
+		s.tidy(t)
+	}
+	clear(s.ends)
+	s.ends = s.ends[:0]
+}
+
+// tidy gives back a ticket that nothing refers to any more.
+func (s *Sidecar) tidy(t *state.Ticket) {
+	if t.Settled && !t.Out && t.Pending == 0 && t.Client == nil {
+		s.timers.Stop(&t.Wait)
+		s.tickets.Give(t, s.buffers)
+	}
+}
+
+// ---- what the module asks for ----
+
+func (s *Sidecar) want(h policy.Handle, n step) *state.Ticket {
+	n.ticket = s.tickets.By(h)
+	n.ticket.Pending++
+	s.steps = append(s.steps, n)
+	return n.ticket
+}
+
+func (s *Sidecar) Push(h policy.Handle, to policy.ServerID, wait policy.Time) {
+	t := s.want(h, step{do: (*Sidecar).push, server: to, span: wait})
+	t.Out, t.Server, t.PushNo = true, to, policy.PushNo(t.Pushes)
+	t.Pushes++
+}
+
+func (s *Sidecar) Cancel(h policy.Handle, n policy.PushNo) {
+	s.want(h, step{do: (*Sidecar).cancel, push: n})
+}
+
+func (s *Sidecar) Honour(h policy.Handle, _ policy.PushNo) {
+	s.want(h, step{do: (*Sidecar).honour}).Settled = true
+}
+
+func (s *Sidecar) TurnBack(h policy.Handle, retryIn policy.Time) {
+	s.want(h, step{do: (*Sidecar).turnBack, span: retryIn}).Settled = true
+}
+
+func (s *Sidecar) GiveUp(h policy.Handle) {
+	s.want(h, step{do: (*Sidecar).giveUp}).Settled = true
+}
+
+func (s *Sidecar) Wake(in policy.Time) {
+	if at := s.clock.Now() + in; !s.wake.On() || at < s.wake.At() {
+		s.timers.Set(&s.wake, at)
+	}
+}
+
+func (s *Sidecar) FollowList(on bool) {
+	if on {
+		s.list.follow(s.clock.Now())
+	} else {
+		s.list.stop()
+	}
+}
+
+func (s *Sidecar) Log(line string) { s.log.Info(line) }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -10,6 +10,7 @@
 	"math"
 	"strconv"
 
+	"pepperlead/internal/campaign"
 	"pepperlead/policy"
 )
 
@@ -215,17 +216,7 @@
 	if err != nil {
 		return false, err
 	}
-	return boolean(name, string(v))
-}
-
-func boolean(name, v string) (bool, error) {
-	switch v {
-	case "1", "true":
-		return true, nil
-	case "0", "false":
-		return false, nil
-	}
-	return false, fmt.Errorf("%s=%s is neither 1 nor 0", name, v)
+	return campaign.Boolean(name, string(v))
 }
 
 func (a *Adapter) time(name string) (policy.Time, error) {
@@ -233,16 +224,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return span(name, string(v))
-}
-
-// span reads seconds as whole nanoseconds.
-func span(name, v string) (policy.Time, error) {
-	s, err := strconv.ParseFloat(v, 64)
-	if err != nil || math.IsNaN(s) || s < 0 || s > 9e9 {
-		return 0, fmt.Errorf("%s=%s is not a time", name, v)
-	}
-	return policy.Time(math.Round(s * 1e9)), nil
+	return campaign.Span(name, string(v))
 }
 
 // ---- events ----
@@ -489,12 +471,6 @@
 	i.out.WriteByte('\n')
 }
 
-func (i *instance) Probe(s policy.ServerID) {
-	i.action("test")
-	i.whole("endpoint", uint64(s))
-	i.out.WriteByte('\n')
-}
-
 func (i *instance) Wake(in policy.Time) {
 	i.action("wake_at")
 	i.span("delay_s", in)
--- /dev/null
+++ b/internal/state/tickets.go
@@ -0,0 +1,70 @@
+package state
+
+import "pepperlead/policy"
+
+// Ticket is the front side of a ticket: where it came from, what it said, and the push that is out for it.
+type Ticket struct {
+	Handle  policy.Handle
+	Client  *Conn   // nil once answered, or the client has left
+	Request *Buffer // holds the five below
+	Method  []byte
+	Target  []byte
+	Head    []byte
+	Body    []byte
+	Last    bool // the client wants its connection closed after the answer
+
+	Out     bool // a push is out, or about to be
+	Push    *Conn
+	PushNo  policy.PushNo
+	Pushes  int
+	Server  policy.ServerID
+	SentAt  policy.Time
+	Wait    Timer
+	Settled bool // the final answer is decided on
+	Pending int  // steps decided on and not yet carried out
+
+	Answer     *Buffer // holds the two below
+	AnswerHead []byte
+	AnswerBody []byte
+}
+
+// Tickets is the slab of tickets; places are reused.
+type Tickets struct {
+	Held    int
+	free    []*Ticket
+	byPlace []*Ticket
+}
+
+// Take gives an empty place.
+func (k *Tickets) Take() *Ticket {
+	k.Held++
+	if n := len(k.free); n > 0 {
+		t := k.free[n-1]
+		k.free = k.free[:n-1]
+		return t
+	}
+	return &Ticket{}
+}
+
+// Bind lets the ticket be found by its handle.
+func (k *Tickets) Bind(t *Ticket, h policy.Handle) {
+	for len(k.byPlace) <= h.Place() {
+		k.byPlace = append(k.byPlace, nil)
+	}
+	t.Handle, k.byPlace[h.Place()] = h, t
+}
+
+// By finds a ticket that the module names.
+func (k *Tickets) By(h policy.Handle) *Ticket { return k.byPlace[h.Place()] }
+
+// Give takes the place back, and its buffers with it, once nothing refers to the ticket any more.
+func (k *Tickets) Give(t *Ticket, p *Buffers) {
+	p.Put(t.Request)
+	p.Put(t.Answer)
+	if at := t.Handle.Place(); at < len(k.byPlace) && k.byPlace[at] == t {
+		k.byPlace[at] = nil
+	}
+	*t = Ticket{Wait: Timer{Do: t.Wait.Do}}
+	k.free = append(k.free, t)
+	k.Held--
+}
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -187,7 +187,6 @@
 
 func (w *world) Cancel(Handle, PushNo) {}
 func (w *world) Honour(Handle, PushNo) {}
-func (w *world) Probe(ServerID)        {}
 func (w *world) Log(string)            {}
 func (w *world) Wake(in Time)          { w.after(in, func() { w.b.Woken(w.now) }) }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -9,7 +9,7 @@
 )
 
 type (
-	ServerID    uint32 // a server, the same at every sidecar and over its restarts
+	ServerID    uint64 // a server, the same at every sidecar and over its restarts
 	Zone        string // a data centre
 	Cell        int32  // a pod: a small group of servers
 	OfferingID  int32  // place in Campaign.Offerings
@@ -129,7 +129,6 @@
 	Honour(h Handle, n PushNo)
 	TurnBack(h Handle, retryIn Time)
 	GiveUp(h Handle)
-	Probe(s ServerID)
 	Wake(in Time)
 	FollowList(on bool)
 	Log(line string)
