Leave: on SIGTERM the module brings all cut-offs forward to the end

Cause: a ticket may have more time left at SIGTERM than there is until SIGKILL, and the front must not decide about it. Leave in the module shortens the cut-offs of tickets in hand and of those to come; the front only says by when. The plain model checks it; without the loop in Leave it fails at once.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	bufferPart = 0.35                      // of the memory allowed, for messages in hand
-	heapPart   = 0.6                       // the garbage collector keeps the heap under it
-	leaveIn    = 3450 * policy.Millisecond // from SIGTERM to the last answer: SIGKILL may come 250 ms later
+	bufferPart = 0.35                     // of the memory allowed, for messages in hand
+	heapPart   = 0.6                      // the garbage collector keeps the heap under it
+	acceptFor  = 450 * policy.Millisecond // after SIGTERM: 50 ms more than clients are said to come
+	longest    = 3 * policy.Second        // cut-off that is waited for after SIGTERM
 )
 
 // Read makes a post of the configuration in the file, and of what the environment says of the same.
@@ -67,7 +68,12 @@
 	post.Memory = int(told.Limits.Memory * (1 << 20))
 	post.ConnectIn = values.Span("limits.connect_timeout_s")
 	post.IdleFor = values.Span("limits.conn_idle_s")
-	post.Leave = leaveIn
+	post.Accept = acceptFor
+	for n := range values.Count("offerings.count") {
+		post.Leave = max(post.Leave, values.Span("offerings."+strconv.Itoa(n)+".cut_off_s"))
+	}
+	// SIGKILL comes 0.7 s after the longest cut-off, so this leaves 250 ms.
+	post.Leave = min(post.Leave, longest) + acceptFor
 	post.Known = told.Known
 	if post.Campaign, err = campaign.Read(values); err != nil {
 		return post, fmt.Errorf("%s: settings: %w", path, err)
--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -102,10 +102,6 @@
 	if !known {
 		franchise = policy.NoFranchise
 	}
-	left -= now - at
-	if s.leaving {
-		left = min(left, s.leaveBy-now)
-	}
 	t := s.tickets.Take()
 	if t.Wait.Do == nil {
 		t.Wait.Do = func(now policy.Time) { s.timedOut(now, t) }
@@ -114,7 +110,7 @@
 	c.Ticket = t
 	s.Counters.Tickets++
 	h := s.module.Admit(now, offering, franchise, text(field(head, "X-Route-Key")),
-		string(field(head, "X-Retried")) == "1", max(0, left))
+		string(field(head, "X-Retried")) == "1", max(0, left-(now-at)))
 	s.tickets.Bind(t, h)
 	s.module.Begin(now, h)
 }
--- a/internal/proto/follow.go
+++ b/internal/proto/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"pepperlead/internal/state"
 	"pepperlead/policy"
@@ -178,6 +179,7 @@
 	if server == nil {
 		server = &state.Server{ID: m.ID, UID: at.uid, Addr: at.addr, Started: m.Started}
 		f.s.conns.Servers[m.ID] = server
+		f.s.log.WithFields(logrus.Fields{"uid": at.uid, "id": uint64(m.ID), "at": at.addr}).Info("list: new server")
 	}
 	if server.UID != at.uid {
 		f.s.log.WithField("uid", at.uid).Error("list: left out, has the id of " + server.UID)
--- a/internal/proto/leave.go
+++ b/internal/proto/leave.go
@@ -5,23 +5,21 @@
 	"pepperlead/policy"
 )
 
-// acceptFor is how long clients may still come after the first sign of the end.
-const acceptFor = 450 * policy.Millisecond
+const (
+	lastWrite = 100 * policy.Millisecond // for a client to take the last answer
+	straggle  = 50 * policy.Millisecond  // for a client to come again that had its connection closed as it sent
+)
 
-// leave begins the end: every answer now closes its connection.
+// leave begins the end: every answer now closes its connection, and the module answers all in time.
 func (s *Sidecar) leave(now policy.Time) {
 	if s.leaving {
 		return
 	}
 	s.log.WithField("tickets", s.tickets.Held).Info("leaving: answering what is in hand")
-	s.leaving, s.acceptTo, s.leaveBy = true, now+acceptFor, now+s.post.Leave
-	s.wake2(now)
-}
-
-func (s *Sidecar) wake2(now policy.Time) {
-	t := &state.Timer{}
-	t.Do = func(now policy.Time) { s.timers.Set(t, now+flushEvery) }
-	s.timers.Set(t, now+flushEvery)
+	s.leaving, s.acceptTo, s.leaveBy = true, now+s.post.Accept, now+s.post.Leave
+	s.module.Leave(now, s.leaveBy)
+	s.look.Do = func(now policy.Time) { s.timers.Set(&s.look, now+flushEvery) }
+	s.look.Do(now)
 }
 
 // left tells whether all is answered and none can come any more.
@@ -38,5 +36,8 @@
 			waiting = true
 		}
 	}
-	return !waiting || now >= s.leaveBy+200*policy.Millisecond
+	if waiting {
+		s.emptyAt = now + straggle
+	}
+	return now >= min(max(s.emptyAt, s.acceptTo), s.leaveBy+lastWrite)
 }
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -18,7 +18,8 @@
 	Memory            int // bytes that messages in hand may take
 	ConnectIn         policy.Time
 	IdleFor           policy.Time // servers close connections that stood idle for so long
-	Leave             policy.Time // from the first sign of the end to the last answer
+	Accept            policy.Time // for so long after the first sign of the end clients may come
+	Leave             policy.Time // from that sign to the last answer
 	Campaign          *policy.Campaign
 	Known             []byte // a list saved earlier
 }
@@ -46,8 +47,10 @@
 	list       follower
 
 	leaving  bool
+	emptyAt  policy.Time // when none is expected any more
 	acceptTo policy.Time // until then new connections may come
 	leaveBy  policy.Time // the last answer must be out by then
+	look     state.Timer // for what is still to be done
 }
 
 // step is something that the module wants done.
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -46,6 +46,7 @@
 	events   []event
 	trace    strings.Builder
 	broken   string
+	leaveBy  Time // end of this life; 0: not told
 	kinds    map[string]int
 }
 
@@ -245,6 +246,7 @@
 // start begins a life of the sidecar; requests of an earlier one are the clients' to retry.
 func (w *world) start() {
 	w.life++
+	w.leaveBy = 0
 	w.requests = map[Handle]*request{}
 	w.told = map[ServerID]Time{}
 	w.b = New(w, w.campaign, uint64(w.Int63()), w.now)
@@ -253,6 +255,16 @@
 	}
 }
 
+// leave lets the sidecar end a little later: whatever is open must be answered by then.
+func (w *world) leave() {
+	by := w.now + 300*Millisecond
+	w.b.Leave(w.now, by)
+	for _, r := range w.requests {
+		r.cutOff = min(r.cutOff, by)
+	}
+	w.leaveBy = by
+}
+
 func (w *world) arrive() {
 	o := OfferingID(w.Intn(len(w.campaign.Offerings)))
 	key := ""
@@ -265,6 +277,9 @@
 	}
 	h := w.b.Admit(w.now, o, FranchiseID(w.Intn(2)), key, w.Intn(5) == 0, left)
 	w.requests[h] = &request{offering: w.campaign.Offerings[o], cutOff: w.now + left}
+	if w.leaveBy > 0 {
+		w.requests[h].cutOff = min(w.now+left, w.leaveBy)
+	}
 	w.b.Begin(w.now, h)
 	if w.Intn(30) == 0 {
 		w.after(left/2, func() {
@@ -318,6 +333,8 @@
 		switch k := w.Intn(200); {
 		case k == 0:
 			w.start()
+		case k == 1 && w.now > end-Second:
+			w.leave()
 		case k < 4:
 			w.list([]ListKind{ListFull, ListChanges}[w.Intn(2)])
 		case k < 150:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
 // Package policy decides where tickets go and what becomes of them. New starts an instance; List, ListFailed,
-// Admit then Begin, PushEnded, AnswerBegun, ClientLeft and Woken hand it what happened. It answers through
-// the Front given to New, within the call. Interface, ids and what is read at start: types.go; reasons:
-// docs/design.md. One goroutine uses an instance, which shares nothing.
+// Admit then Begin, PushEnded, AnswerBegun, ClientLeft, Leave and Woken tell it what happened. It answers
+// through the Front given to New, within the call. Interface, ids and what is read at start: types.go;
+// reasons: docs/design.md. One goroutine uses an instance, which shares nothing.
 package policy
 
 import (
@@ -47,7 +47,7 @@
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
 		usual: make([]float64, len(c.Offerings)), use: make([]meter, len(c.Franchises)),
 		pushes: pushesCap / 2, calm: 0.25, pace: math.MaxInt32,
-		nearPart: min(1, 2*splitWorth*c.CrossPrice)}
+		nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
 	}
@@ -64,6 +64,7 @@
 	if b.campaign.MustAsk && kind != ListSaved {
 		b.askAt, b.askWait = 0, 0
 	}
+	b.tend(now)
 	first := len(b.byID) == 0
 	b.epoch++
 	byID := func(x, y Member) int { return cmp.Compare(x.ID, y.ID) }
@@ -72,7 +73,7 @@
 	}
 	for i := range b.servers {
 		if s := &b.servers[i]; kind != ListChanges && s.seen != b.epoch && s.Standing != Gone {
-			s.Standing, s.leftAt = Gone, now
+			s.Standing = Gone
 		}
 	}
 	if first && len(b.byID) > 0 {
@@ -94,16 +95,13 @@
 		p = int32(len(b.servers))
 		b.places[m.ID] = p
 		b.servers = append(b.servers, server{Member: m, seen: b.epoch, limit: firstLimit,
-			budget: b.chance.part(), budgetAt: now})
+			budget: b.chance.part(), budgetAt: now, leftAt: now})
 		b.join(p)
 		return
 	}
 	s := &b.servers[p]
 	s.seen = b.epoch
 	reweighed := s.inTable && s.Weight != m.Weight
-	if m.Standing == Gone && s.Standing != Gone {
-		s.leftAt = now
-	}
 	if m.Started > s.Started {
 		// A restarted server is cold and knows no keys; what was learned of it is void. Its budget starts
 		// anywhere under a push: from zero, hundreds of sidecars would send none for minutes, then all at once.
@@ -214,7 +212,7 @@
 	b.free = b.free[:len(b.free)-1]
 	t := &b.slab[place]
 	*t = ticket{generation: t.generation + 1, place: place, inUse: true, offering: o,
-		arrived: now, cutOff: now + left, ranOn: -1}
+		arrived: now, cutOff: min(now+left, b.endAt), ranOn: -1}
 	if key == "" {
 		b.ring = (b.ring + 1) % slots
 		t.slot = b.ring
@@ -270,11 +268,10 @@
 
 // Begin decides the first step of a ticket.
 func (b *Balancer) Begin(now Time, h Handle) {
-	if t := b.held(h); t != nil {
-		slack := b.campaign.Offerings[t.offering].Quoted - Time(b.usual[t.offering])
-		t.waitTill = min(t.arrived+slack, t.cutOff-b.margin())
-		b.place(now, t, false)
-	}
+	t := b.held(h)
+	slack := b.campaign.Offerings[t.offering].Quoted - Time(b.usual[t.offering])
+	t.waitTill = min(t.arrived+slack, t.cutOff-b.margin())
+	b.place(now, t, false)
 }
 
 func (b *Balancer) margin() Time { return marginTicks * b.campaign.Tick }
@@ -431,14 +428,22 @@
 
 // ClientLeft is told when a ticket is over because its client left.
 func (b *Balancer) ClientLeft(now Time, h Handle) {
-	t := b.held(h)
-	if t == nil || t.answered {
-		return
+	if t := b.held(h); t != nil && !t.answered {
+		b.unqueue(slices.Index(b.queue, t.place))
+		t.settle()
+		b.callOff(t)
+		b.letGo(t)
 	}
-	b.unqueue(slices.Index(b.queue, t.place))
-	t.settle()
-	b.callOff(t)
-	b.letGo(t)
+}
+
+// Leave brings all cut-offs, also those still to come, forward to the sidecar's own end.
+func (b *Balancer) Leave(now, by Time) {
+	b.endAt = by
+	for i := range b.slab {
+		t := &b.slab[i]
+		t.cutOff, t.waitTill = min(t.cutOff, by), min(t.waitTill, by-b.margin())
+	}
+	b.wake(now, by-b.margin())
 }
 
 func (b *Balancer) callOff(t *ticket) {
@@ -538,43 +543,37 @@
 	c := b.campaign
 	share := c.ColdShare + (1-c.ColdShare)*float64(now-s.Started)/float64(c.ColdTime)
 	grow := max(0.25/float64(c.Sidecars), c.FallMultiple*share*shortOfHit*b.borne*s.Weight)
-	s.budget = min(1, s.budget+grow*float64(now-s.budgetAt)/float64(Second))
-	s.budgetAt = now
+	s.budget, s.budgetAt = min(1, s.budget+grow*float64(now-s.budgetAt)/float64(Second)), now
 	return s.budget
 }
 
 func (b *Balancer) drain(now Time, p int32) {
 	for i := 0; i < len(b.queue) && b.paced(now); {
 		t := &b.slab[b.queue[i]]
-		to := int32(-1)
 		if p < 0 || t.home < 0 || t.home == p || b.spills(t.home, &b.servers[p]) {
-			to = b.choose(now, t, false)
-		}
-		if to >= 0 && now < t.waitTill {
-			b.unqueue(i)
-			t.next(b, t, news{now: now, server: to})
-		} else {
-			i++
+			if to := b.choose(now, t, false); to >= 0 && now < t.waitTill {
+				b.unqueue(i)
+				t.next(b, t, news{now: now, server: to})
+				continue
+			}
 		}
+		i++
 	}
 }
 
 func (b *Balancer) judge(now Time, t *ticket, p int32, o Outcome, spent Time) {
 	s, quoted := &b.servers[p], b.campaign.Offerings[t.offering].Quoted
 	part := float64(spent) / float64(quoted)
-	late := 1.0
-	if o == Honoured {
-		late = min(1, part)
-	}
-	b.regulate(now, s, late, min(spent, quoted), quoted)
-	if o == TimedOut {
-		s.ratio += 0.2 * (max(1, part) - s.ratio)
-	}
 	if o != Honoured {
+		b.regulate(now, s, 1, min(spent, quoted), quoted)
+		if o == TimedOut {
+			s.ratio += 0.2 * (max(1, part) - s.ratio)
+		}
 		b.bad(now, t, s, o)
 		b.cut(now, s, 0.7)
 		return
 	}
+	b.regulate(now, s, min(1, part), min(spent, quoted), quoted)
 	s.row, s.skip = 0, 0
 	s.served.count(now)
 	if !b.cold(now, s) {
@@ -675,7 +674,9 @@
 		if now < s.asideTill {
 			b.aside++
 		}
-		if s.Standing == Gone && s.inTable && now-s.leftAt >= holdTime && !empty {
+		if s.Standing != Gone {
+			s.leftAt = now
+		} else if s.inTable && now-s.leftAt >= holdTime && !empty {
 			b.leave(int32(i))
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -7,7 +7,7 @@
 	inTable   bool
 	ranks     []int32 // its slots, by their place in the seeded order
 	target    int     // slots it should hold
-	leftAt    Time    // when it was heard to be gone
+	leftAt    Time    // when it was last seen to be listed
 	seen      uint32
 	out       int
 	limit     float64 // pushes that may be out to it
@@ -96,6 +96,7 @@
 	pacedAt    Time    // last cut of the pace
 	resumeAt   Time    // no push before
 	done       meter   // honoured pushes
+	endAt      Time    // of the sidecar: no cut-off is later
 	nearPart   float64 // part of the keys that look for a near server first
 }
 
