--- a/internal/proto/follow.go
+++ b/internal/proto/follow.go
@@ -128,8 +128,10 @@
 
 // broke is told that the connection is gone.
 func (f *follower) broke(now policy.Time, c *state.Conn) {
-	if c == f.conn {
-		f.conn = nil
+	if c != f.conn {
+		return
+	}
+	if f.conn, f.asked = nil, false; f.on {
 		f.fail(now, "the connection ended")
 	}
 }
--- a/internal/proto/leave.go
+++ b/internal/proto/leave.go
@@ -1,12 +1,16 @@
 package proto
 
 import (
+	"context"
+	"time"
+
 	"pepperlead/internal/state"
 	"pepperlead/policy"
 )
 
 const (
 	lastWrite = 100 * policy.Millisecond // for a client to take the last answer
+	shutIn    = 50 * policy.Millisecond  // for connections to close
 	straggle  = 50 * policy.Millisecond  // for a client to come again that had its connection closed as it sent
 )
 
@@ -41,3 +45,22 @@
 	}
 	return now >= min(max(s.emptyAt, s.acceptTo), s.leaveBy+lastWrite)
 }
+
+// shut gives back what is still held once Run is over: connections, their buffers, timers.
+func (s *Sidecar) shut() {
+	s.list.stop()
+	for c := range s.conns.Open {
+		s.close(c)
+	}
+	// Dialling may take its time; what the process holds ends with it.
+	for end := s.clock.Now() + shutIn; len(s.conns.Open) > 0 && s.clock.Now() < end; {
+		s.round(s.clock.Now())
+		time.Sleep(time.Millisecond)
+	}
+	for _, t := range []*state.Timer{&s.wake, &s.look, &s.list.due} {
+		s.timers.Stop(t)
+	}
+	enough, cancel := context.WithTimeout(context.Background(), time.Duration(shutIn))
+	defer cancel()
+	s.sockets.engine.Shutdown(enough)
+}
--- /dev/null
+++ b/internal/proto/parse_test.go
@@ -0,0 +1,223 @@
+package proto
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+	"testing/quick"
+
+	"pepperlead/policy"
+)
+
+func check(t *testing.T, seed int64, f any) {
+	t.Helper()
+	if err := quick.Check(f, &quick.Config{MaxCount: 300, Rand: rand.New(rand.NewSource(seed))}); err != nil {
+		t.Error(err)
+	}
+}
+
+// chunkUp writes a body in chunks of drawn sizes.
+func chunkUp(r *rand.Rand, body []byte) []byte {
+	var out []byte
+	for len(body) > 0 {
+		n := 1 + r.Intn(len(body))
+		out = append(out, fmt.Sprintf("%x;note=1\r\n%s\r\n", n, body[:n])...)
+		body = body[n:]
+	}
+	return append(out, "0\r\nTrailer: x\r\n\r\n"...)
+}
+
+// message draws a body and the bytes that carry it after the first line.
+func message(r *rand.Rand) (body, rest []byte) {
+	body = make([]byte, r.Intn(300))
+	r.Read(body)
+	if r.Intn(2) == 0 {
+		return body, append([]byte("Host: a\r\nTransfer-Encoding: chunked\r\n\r\n"), chunkUp(r, body)...)
+	}
+	return body, append([]byte(fmt.Sprintf("Host: a\r\ncontent-length:  %d \r\n\r\n", len(body))), body...)
+}
+
+func TestMessagesAreReadAlikeHoweverTheyAreSplit(t *testing.T) {
+	check(t, 1, func(seed int64) bool {
+		r := rand.New(rand.NewSource(seed))
+		body, rest := message(r)
+		request := append([]byte("POST /step/a?b=1 HTTP/1.1\r\n"), rest...)
+		answer := append([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"), rest...)
+		for i := range request {
+			if n, _, _, _, _, _, fault := CutRequest(bytes.Clone(request[:i])); n != 0 || fault != 0 {
+				return false
+			}
+		}
+		for i := range answer {
+			if n, _, _, _, _, ok := CutAnswer(bytes.Clone(answer[:i]), false, mostBody); n != 0 || !ok {
+				return false
+			}
+			if n, _, _, _, _, ok := CutAnswer(bytes.Clone(answer[:i]), true, mostBody); n != 0 || ok {
+				return false // broken off is never whole
+			}
+		}
+		n, method, target, _, got, last, fault := CutRequest(append(bytes.Clone(request), "GET"...))
+		m, status, _, back, stays, ok := CutAnswer(append(bytes.Clone(answer), '!'), false, mostBody)
+		return n == len(request) && string(method) == "POST" && string(target) == "/step/a?b=1" && !last && fault == 0 &&
+			bytes.Equal(got, body) && m == len(answer) && status == 200 && bytes.Equal(back, body) && stays && ok
+	})
+}
+
+func TestBadRequestsAreToldApart(t *testing.T) {
+	long := strings.Repeat("x", mostHead)
+	for in, want := range map[string]int{
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n":                                                         0,
+		"GET / HTTP/1.0\r\nHost: a\r\n\r\n":                                                         0,
+		"GET / HTTP/1.1\r\n\r\n":                                                                    400,
+		"GET / HTTP/2.0\r\nHost: a\r\n\r\n":                                                         400,
+		"GET  / HTTP/1.1\r\nHost: a\r\n\r\n":                                                        400,
+		"GET a HTTP/1.1\r\nHost: a\r\n\r\n":                                                         400,
+		"GET /\r\nHost: a\r\n\r\n":                                                                  400,
+		"GET / HTTP/1.1\nHost: a\n\n\r\n\r\n":                                                       400,
+		"GET / HTTP/1.1\r\nHost: a\r\nA b: c\r\n\r\n":                                               400,
+		"GET / HTTP/1.1\r\nHost: a\r\nA : c\r\n\r\n":                                                400,
+		"GET / HTTP/1.1\r\nHost: a\r\nA: c\r\n folded\r\n\r\n":                                      400,
+		"GET / HTTP/1.1\r\nHost: a\r\nA: c\nB: d\r\n\r\n":                                           400,
+		"GET / HTTP/1.1\r\nHost: a\r\nA: c\x00\r\n\r\n":                                             400,
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n":                                   400,
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\n":                                   400,
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab":             400,
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n": 400,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n":                     400,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":                     400,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n":               400,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n":               413,
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65537\r\n\r\n":                               413,
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999999999999999999\r\n\r\n": 400,
+		"GET / HTTP/1.1\r\nHost: a\r\nA: " + long + "\r\n\r\n":                                      431,
+		"GET /" + long:                        431,
+		"\x16\x03\x01\x02\x00\x01\x00":        400, // someone speaks TLS
+		strings.Repeat("A", 64):               400,
+		"{\"json\":1}":                        400,
+		"G@T / HTTP/1.1\r\nHost: a\r\n\r\n":   400,
+		"GET /\x7f HTTP/1.1\r\nHost: a\r\n\r": 0, // not whole: told once it is
+	} {
+		if _, _, _, _, _, _, fault := CutRequest([]byte(in)); fault != want {
+			t.Errorf("%.80q: fault %d, want %d", in, fault, want)
+		}
+	}
+}
+
+func TestAnswersMeanWhatTheProtocolSays(t *testing.T) {
+	for in, want := range map[string]policy.Outcome{
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":                                      policy.Honoured,
+		"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n":                                      policy.Errored,
+		"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n":                policy.TurnedAway,
+		"HTTP/1.1 504 No\r\nx-not-processed: 1\r\nContent-Length: 0\r\n\r\n":                policy.TurnedAway,
+		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n":                                      policy.Errored,
+		"HTTP/1.1 500 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n":                policy.Errored,
+		"HTTP/1.1 204 None\r\n\r\n":                                                         policy.Errored,
+		"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno":                                    policy.Errored,
+		"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n":                                  policy.ConnBroke,
+		"HTTP/1.1 200\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab":                  policy.ConnBroke,
+		"HTTP/1.1 20 OK\r\n\r\n":                                                            policy.ConnBroke,
+		"SSH-2.0-x\r\n\r\n":                                                                 policy.ConnBroke,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n":                        policy.ConnBroke,
+		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", mostHead) + "\r\n\r\n":               policy.ConnBroke,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r": policy.ConnBroke,
+	} {
+		got := policy.ConnBroke
+		if n, status, head, _, _, ok := CutAnswer([]byte(in), false, mostBody); ok && n > 0 {
+			got = outcomeOf(status, head)
+		}
+		if got != want {
+			t.Errorf("%.80q: %d, want %d", in, got, want)
+		}
+	}
+	n, _, _, body, stays, ok := CutAnswer([]byte("HTTP/1.1 200 OK\r\n\r\nto the end"), true, mostBody)
+	if n == 0 || string(body) != "to the end" || stays || !ok {
+		t.Errorf("a body that ends with the connection: %d %q %v %v", n, body, stays, ok)
+	}
+}
+
+func TestOnlyWhatIsForTheOtherSideGoesThrough(t *testing.T) {
+	head := []byte("Host: a\r\nconnection: keep-alive, X-Mine\r\nX-Mine: 1\r\nX-Request-ID: 7\r\nIdempotency-Key: k\r\n" +
+		"X-Timeout: 9\r\nContent-Length: 3\r\nTE: x\r\nExpect: 100-continue\r\nX-Attrs: a=1,b=2\r\n")
+	want := "POST /s?q=1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: 7\r\nIdempotency-Key: k\r\nX-Attrs: a=1,b=2\r\n" +
+		"X-Timeout: 0.2500\r\nContent-Length: 3\r\n\r\nabc"
+	got := AppendPush(nil, []byte("POST"), []byte("/s?q=1"), head, []byte("abc"), policy.Second/4)
+	if string(got) != want {
+		t.Errorf("%q", got)
+	}
+}
+
+const list = `{"rev":41,"all":true,"more":[{"x":null}],"targets":[
+ {"uid":"s-1","endpoint":"10.1.0.18:9000","az":"a","model":"m\u00e52","pod_group":3,"state":"Ready","capacity_hint":1.5,"boot_ms":0},
+ {"uid":"s-\"2\u0041","endpoint":"10.1.0.19:9000","az":"b","pod_group":4,"state":"Terminating","boot_ms":17}]}`
+
+// entries reads a list and writes down what was said.
+func entries(in string) (string, error) {
+	var out strings.Builder
+	version, full, err := ReadList([]byte(in), func(uid, addr, zone []byte, cell policy.Cell, standing policy.Standing,
+		weight float64, started policy.Time) error {
+		fmt.Fprintln(&out, string(uid), string(addr), string(zone), cell, standing, weight, started)
+		return nil
+	})
+	return fmt.Sprintf("%d %v\n%s", version, full, out.String()), err
+}
+
+func TestListIsRead(t *testing.T) {
+	want := "41 true\ns-1 10.1.0.18:9000 a 3 0 1.5 0\ns-\"2A 10.1.0.19:9000 b 4 1 1 17000000\n"
+	if got, err := entries(list); err != nil || got != want {
+		t.Errorf("%v %q", err, got)
+	}
+	for _, change := range [][2]string{{`"rev":41,`, ""}, {`"Ready"`, `"Odd"`}, {`"s-1"`, `""`}, {"41", "4.5"}, {"true", "1"},
+		{`:3`, `:-3`}, {"1.5", "-1"}, {"1.5", "NaN"}, {`]}`, `]}x`}, {`]}`, `]`}, {`"boot_ms":0`, `"boot_ms":1e300`},
+		{`null`, strings.Repeat("[", 99)}, {`\u0041`, `\u00`}, {`"10.1.0.18:9000"`, `""`}, {"\"b\"", "\"b\x01\""}} {
+		in := strings.Replace(list, change[0], change[1], 1)
+		if _, err := entries(in); err == nil || in == list {
+			t.Errorf("%q for %q was taken", change[1], change[0])
+		}
+	}
+}
+
+func TestBrokenOffListsAreNotTaken(t *testing.T) {
+	for i := range list {
+		if _, err := entries(list[:i]); err == nil {
+			t.Fatalf("taken after %d bytes", i)
+		}
+	}
+	check(t, 2, func(at uint16, c byte) bool { // no panic, whatever one byte becomes
+		in := []byte(list)
+		in[int(at)%len(in)] = c
+		entries(string(in))
+		return true
+	})
+}
+
+func FuzzCutRequest(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		whole := bytes.Clone(in)
+		n, method, target, head, body, _, fault := CutRequest(in)
+		if n > len(in) || n > 0 && fault != 0 || len(body) > mostBody {
+			t.Fatalf("%d of %d, fault %d, body %d", n, len(in), fault, len(body))
+		}
+		if n == 0 {
+			return
+		}
+		// What goes on to a server must be read there as one request with the same body.
+		out := AppendPush(nil, method, target, head, body, policy.Second)
+		m, _, again, _, same, _, fault := CutRequest(append(out, whole[n:]...))
+		if fault != 0 || (m != len(out) || !bytes.Equal(same, body) || !bytes.Equal(again, target)) {
+			t.Fatalf("%q went on as %q", whole, out)
+		}
+	})
+}
+
+func FuzzCutAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"), false)
+	f.Fuzz(func(t *testing.T, in []byte, over bool) {
+		n, status, _, body, _, ok := CutAnswer(in, over, mostBody)
+		if n > len(in) || n > 0 && !ok || status == 200 && len(body) > mostBody {
+			t.Fatalf("%d of %d, %v, body %d", n, len(in), ok, len(body))
+		}
+	})
+}
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -46,7 +46,7 @@
 	size, chunked, closing, ok := framing(head)
 	last = last || closing
 	switch {
-	case !ok || len(method) == 0 || field(head, "Host") == nil && !last:
+	case !ok || len(method) == 0 || field(head, "Host") == nil:
 		return fail(400)
 	case size > mostBody:
 		return fail(413)
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -109,6 +109,7 @@
 			continue
 		}
 		if s.leaving && s.left(s.clock.Now()) {
+			s.shut()
 			return nil
 		}
 		pause := time.Hour
