Share descriptors by side; new client connections are not cut before their first request

A client sends again only what crossed the end of a connection it had used.

The kernel's limit on descriptors is set to the one told, so that accepting cannot run past it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,6 +129,11 @@
 	memory := float64(post.Memory)
 	debug.SetMemoryLimit(int64(memory * heapPart))
 	post.Memory = int(memory * bufferPart)
+	// What the sidecar may hold is kept by itself; the kernel keeps it where clients come faster than they are told so.
+	limit := syscall.Rlimit{Cur: uint64(post.Descriptors), Max: uint64(post.Descriptors)}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		log.WithError(err).Warn("the limit on descriptors cannot be set")
+	}
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	s := proto.New(post, log)
--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -19,10 +19,10 @@
 	c.Timer.Do = func(now policy.Time) { s.clientDue(now, c) }
 	s.conns.Add(c)
 	s.Counters.ClientConns++
-	if s.conns.Clients > s.conns.MostClients {
+	if s.conns.Count(state.Client) > s.conns.Most[state.Client] {
 		// Clients open more and more connections while all are slow. One between requests may be closed; where none
-		// is, the newcomer is served as long as descriptors last.
-		if old := s.conns.Oldest(state.Client); old != nil && old != c {
+		// is, there is room to answer the newcomer, not to keep it.
+		if old := s.conns.Oldest(state.Client, now-requestIn); old != nil {
 			s.Counters.ClientConnsCut++
 			s.close(old)
 		}
@@ -91,11 +91,12 @@
 	case s.post.Campaign.Offerings[offering].Repeats == policy.Numbered && field(head, "Idempotency-Key") == nil:
 		refuse(400, "Idempotency-Key is missing\n")
 		return
-	case s.buffers.Full():
-		// Out of room: an answer costs nothing, the ticket might cost the process.
+	case s.buffers.Full() || s.conns.Count(state.Client) > s.conns.Most[state.Client]:
+		// Out of memory or descriptors: an answer costs nothing, the ticket might cost the process. Nothing has been
+		// pushed, so coming again is harmless.
 		s.Counters.Overflow++
 		s.buffers.Put(buf)
-		s.own(now, c, 503, "out of room\n", 0, last)
+		s.own(now, c, 503, "out of room\n", 0, true)
 		return
 	}
 	franchise, known := s.franchises[string(field(head, "X-Tenant-Id"))]
@@ -135,8 +136,8 @@
 // Report is the counters, and what is held now.
 func (s *Sidecar) Report() string {
 	return s.Counters.String() + fmt.Sprintf("tickets_in_hand %d\nclient_connections_open %d\n"+
-		"server_connections_open %d\nbuffer_bytes_lent %d\ntimers_set %d\n", s.tickets.Held, s.conns.Clients,
-		s.conns.ToServers, s.buffers.Lent(), s.timers.Len())
+		"server_connections_open %d\nbuffer_bytes_lent %d\ntimers_set %d\n", s.tickets.Held, s.conns.Count(state.Client),
+		s.conns.Count(state.ToServer), s.buffers.Lent(), s.timers.Len())
 }
 
 // bad answers what cannot be served, and ends the connection: where the next request begins is not known.
@@ -156,7 +157,7 @@
 
 // free lets a client's connection go on to its next request, or closes it once the answer is out.
 func (s *Sidecar) free(now policy.Time, c *state.Conn, last bool) {
-	c.Ticket, c.Since = nil, now
+	c.Ticket, c.Since, c.Used = nil, now, true
 	switch {
 	case last:
 		c.Last = true
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -24,8 +24,8 @@
 		s.send(now, t)
 		return
 	}
-	if s.conns.ToServers >= s.conns.MostServers {
-		old := s.conns.Oldest(state.ToServer)
+	if s.conns.Count(state.ToServer) >= s.conns.Most[state.ToServer] {
+		old := s.conns.Oldest(state.ToServer, now)
 		if old == nil {
 			// Every descriptor carries a push: nothing was sent, and that is no fault of the server.
 			s.ended(now, t, policy.NotSent)
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -185,7 +185,7 @@
 // close ends a connection; closed, told of that later, gives back what it holds.
 func (s *Sidecar) close(c *state.Conn) {
 	if !c.Dead {
-		c.Dead = true
+		s.conns.End(c)
 		if c.Up {
 			c.Link.Close()
 		}
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -26,15 +26,16 @@
 	Link    Link
 	Side    Side
 	Timer   Timer
-	In      *Buffer // read and not yet used up
-	Ticket  *Ticket // that it carries now
-	Server  *Server // ToServer: whose
-	Up      bool    // connected
-	Dead    bool    // closed, or about to be: nothing more is read or sent
-	Last    bool    // closes once all is written; what still comes is dropped
-	Asked   bool    // the client has been asked for the body that it waits with
-	Used    bool    // ToServer: has carried a push
-	Since   policy.Time
+	In      *Buffer      // read and not yet used up
+	Ticket  *Ticket      // that it carries now
+	Server  *Server      // ToServer: whose
+	Up      bool         // connected
+	Dead    bool         // closed, or about to be: nothing more is read or sent
+	Last    bool         // closes once all is written; what still comes is dropped
+	Asked   bool         // the client has been asked for the body that it waits with
+	Used    bool         // has carried something
+	Since   policy.Time  // when it came, or last had work
+	No      uint64       // counts connections
 	Queued  int64        // bytes given to the socket
 	Written atomic.Int64 // of these, what the kernel has taken
 	Unread  atomic.Int64 // bytes read that the loop has not looked at yet
@@ -55,44 +56,52 @@
 
 // Conns counts connections against the descriptors allowed, and holds those to servers that stand idle.
 type Conns struct {
-	MostClients, MostServers int
-	Clients, ToServers       int // open or being opened
-	Open                     map[*Conn]struct{}
-	Servers                  map[policy.ServerID]*Server
+	Open    map[*Conn]struct{}
+	Servers map[policy.ServerID]*Server
+	Most    [3]int // by side
+	open    [3]int
+	made    uint64
+	ending  [3]int // of these, closed but not yet told so
 }
 
-// NewConns shares the descriptors out: both sides get half of what the process itself leaves over.
+// The process's own: standard streams, listener, pollers, discovery, and sockets held twice while they change hands.
+const ownDescriptors = 24
+
+// NewConns shares the descriptors out: either side gets nine twentieths of what the process itself leaves over. The rest
+// is for clients beyond that, who are answered at once and closed.
 func NewConns(descriptors int) *Conns {
-	each := max(4, (descriptors-ownDescriptors)/2)
-	return &Conns{MostClients: each, MostServers: each, Open: map[*Conn]struct{}{},
-		Servers: map[policy.ServerID]*Server{}}
+	each := max(4, (descriptors-ownDescriptors)*9/20)
+	return &Conns{Open: map[*Conn]struct{}{}, Servers: map[policy.ServerID]*Server{}, Most: [3]int{each, each, 2}}
 }
 
-// The process's own: standard streams, listener, pollers, discovery, and a socket held twice while it changes hands.
-const ownDescriptors = 32
+// Count is how many connections are open, or being opened, on that side.
+func (k *Conns) Count(side Side) int { return k.open[side] - k.ending[side] }
 
 // Add counts a connection that is opened.
 func (k *Conns) Add(c *Conn) {
+	k.made++
+	c.No = k.made
 	k.Open[c] = struct{}{}
-	switch c.Side {
-	case Client:
-		k.Clients++
-	case ToServer:
-		k.ToServers++
-	}
+	k.open[c.Side]++
+}
+
+// End marks a connection that is being closed.
+func (k *Conns) End(c *Conn) {
+	c.Dead = true
+	k.ending[c.Side]++
 }
 
-// Remove counts a connection that is closed; the only place where its descriptor counts as given back.
+// Remove counts a connection that is closed; the only place where its descriptor is given back. false: it was before.
 func (k *Conns) Remove(c *Conn) bool {
 	if _, open := k.Open[c]; !open {
 		return false
 	}
 	delete(k.Open, c)
-	switch c.Side {
-	case Client:
-		k.Clients--
-	case ToServer:
-		k.ToServers--
+	k.open[c.Side]--
+	if c.Dead {
+		k.ending[c.Side]--
+	}
+	if c.Server != nil {
 		k.Unpark(c)
 	}
 	return true
@@ -116,12 +125,17 @@
 	return false
 }
 
-// Oldest is the connection on that side that has been without work for longest, nil if all work.
-func (k *Conns) Oldest(side Side) *Conn {
+// Oldest is the connection on that side that has been without work for longest, nil if there is none to spare. One that
+// has carried nothing yet is spared unless it came before the time given: its first work may be on the way, and whoever
+// sends that does not expect the connection to end.
+func (k *Conns) Oldest(side Side, before policy.Time) *Conn {
 	var oldest *Conn
 	for c := range k.Open {
-		if c.Side == side && c.Up && !c.Dead && c.Ticket == nil && c.In == nil && c.Unread.Load() == 0 &&
-			(oldest == nil || c.Since < oldest.Since) {
+		if c.Side != side || !c.Up || c.Dead || c.Ticket != nil || c.In != nil || c.Unread.Load() > 0 ||
+			!c.Used && c.Since > before {
+			continue
+		}
+		if oldest == nil || c.Since < oldest.Since || c.Since == oldest.Since && c.No < oldest.No {
 			oldest = c
 		}
 	}
