Close descriptors in the poller alone, so that no new connection ends in place of an old one

Suspected: the loop closes a descriptor, accept gives its number to a new client, and the poller, still holding an event of the old one, closes that client (nbio's readWriteLoop looks connections up by number). At fault: Close and the failing Write of nbio called outside its poller (sidecar.go close, write).

Now the loop shuts the socket down and the poller, told so, closes it; read() tells the link before that happens.

--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -69,7 +69,7 @@
 			s.post(event{what: connected, conn: conn})
 			return
 		}
-		conn = &state.Conn{Link: c, Side: state.Client}
+		conn = &state.Conn{Link: newLink(c), Side: state.Client}
 		c.SetSession(conn)
 		s.post(event{what: opened, conn: conn})
 	})
@@ -110,7 +110,7 @@
 	return got
 }
 
-// read empties the socket; its end or error closes the connection after that, by nbio.
+// read empties the socket, up to its end where that has come: nbio closes it after that, and the link must know before.
 func (s *sockets) read(c *nbio.Conn) {
 	conn, ok := c.Session().(*state.Conn)
 	if !ok {
@@ -121,24 +121,78 @@
 		n, err := c.Read(buf.B[:cap(buf.B)])
 		if n <= 0 {
 			s.buffers.Put(buf)
-			if err == syscall.EINTR {
+			switch err {
+			case syscall.EINTR:
 				continue
+			case syscall.EAGAIN:
+			default:
+				conn.Link.(*link).over()
 			}
 			return
 		}
-		more := n == cap(buf.B)
 		buf.B = buf.B[:n]
 		// A peer that sends without end must not fill the memory before the loop comes to look.
 		if conn.Unread.Add(int64(n)) > mostUnread {
 			s.buffers.Put(buf)
-			c.Close()
+			conn.Link.Close()
 			return
 		}
 		s.post(event{what: arrived, conn: conn, buf: buf}) // it is the loop's from here on
-		if !more {
-			return
+	}
+}
+
+// link is a connection as the loop uses it. Its descriptor is closed in one place, by nbio's poller, when the socket has
+// ended: closed from elsewhere it could be a new connection's by the time the poller comes to what it had to tell of the
+// old one, and that new one would be closed in its place.
+type link struct {
+	nb   *nbio.Conn
+	fd   int
+	mu   sync.Mutex
+	gone bool // ended: the descriptor may be another's at any moment
+}
+
+func newLink(c *nbio.Conn) *link {
+	l := &link{nb: c}
+	raw, _ := c.SyscallConn()
+	raw.Control(func(fd uintptr) { l.fd = int(fd) })
+	return l
+}
+
+func (l *link) over() {
+	l.mu.Lock()
+	l.gone = true
+	l.mu.Unlock()
+}
+
+// Write sends what the kernel takes and leaves the rest to nbio. A failure is told by the poller, as the socket's end.
+func (l *link) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.gone {
+		return 0, net.ErrClosed
+	}
+	conn := l.nb.Session().(*state.Conn)
+	if conn.Flushed() {
+		n, err := syscall.Write(l.fd, b)
+		if n > 0 {
+			conn.Written.Add(int64(n))
+			b = b[n:]
+		}
+		if len(b) == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR {
+			return n, err
 		}
 	}
+	return l.nb.Write(b)
+}
+
+// Close ends the socket both ways; the poller hears of it and closes.
+func (l *link) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.gone {
+		return nil
+	}
+	return syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
 }
 
 // dial opens the connection and tells the loop; dialling waits in a goroutine, as nbio's own neither says which
@@ -151,16 +205,16 @@
 			s.post(event{what: closed, conn: conn})
 			return
 		}
-		link, err := nbio.NBConn(up)
+		c, err := nbio.NBConn(up)
 		if err != nil {
 			up.Close()
 			s.post(event{what: closed, conn: conn})
 			return
 		}
-		conn.Link = link
-		link.SetSession(conn)
-		if _, err := s.engine.AddConn(link); err != nil {
-			link.Close()
+		conn.Link = newLink(c)
+		c.SetSession(conn)
+		if _, err := s.engine.AddConn(c); err != nil {
+			c.Close()
 			s.post(event{what: closed, conn: conn}) // told twice at the most, which is harmless
 		}
 	}()
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -216,9 +216,9 @@
 
 // write sends bytes on a connection. What the kernel does not take at once goes out later.
 func (s *Sidecar) write(c *state.Conn, b []byte) {
-	c.Queued += int64(len(b))
 	s.Counters.BytesOut += int64(len(b))
-	c.Link.Write(b) // a failure closes the connection, which is told like any other end
+	c.Link.Write(b) // a failure ends the connection, which is told like any other end
+	c.Queued += int64(len(b))
 }
 
 // tell hands the module the ends of pushes.
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -650,3 +650,34 @@
 	}
 	c.Close()
 }
+
+// Connections that both ends close at once free their descriptors for new ones, which nothing of the old may touch.
+func TestQuickClosesLoseNothing(t *testing.T) {
+	r, _ := run(t, nil, newStandIn(t).Addr().String())
+	var wait sync.WaitGroup
+	lost := make(chan error, 8)
+	for range 8 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for range 400 {
+				c, err := net.Dial("tcp", r.addr)
+				if err == nil {
+					fmt.Fprint(c, "GET /_health HTTP/1.1\r\nHost: o\r\nConnection: close\r\n\r\n")
+					_, err = http.ReadResponse(bufio.NewReader(c), nil)
+					c.Close()
+				}
+				if err != nil {
+					lost <- err
+					return
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	select {
+	case err := <-lost:
+		t.Error(err)
+	default:
+	}
+}
