Cut a client's connection only if nothing has come on it; tests of state, start and commands

Seen: the 3 lost requests were read from connections that the loop had just shut down to make room (log of bytes that arrive on dead connections: 3, idle for 57 to 3,642 us). At fault: spare ended connections with bytes in the kernel or on their way to the loop. Cut looks, under the link's lock, for bytes in the kernel (TIOCINQ) and unread ones, and what comes later stays unread, so the kernel resets it and the client comes again.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,9 +137,9 @@
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	s := proto.New(post, log)
-	log.WithFields(logrus.Fields{"listen": post.Listen, "descriptors": post.Descriptors,
-		"memory_mb": int(memory) >> 20}).Info("serving")
-	err := s.Run(stop)
+	if err := s.Run(stop); err != nil {
+		return err
+	}
 	log.Info("end: " + strings.ReplaceAll(strings.TrimSpace(s.Report()), "\n", ", "))
-	return err
+	return nil
 }
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pepperlead/policy"
+)
+
+const told = `{"name":"n3","listen":"127.0.0.4:9000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"rev":1,"all":true,"targets":[]},
+"settings":{"balancers":3,"beyond_share_credit":0.05,"zone":"a","zones":["a","b,c"],"weight_kind":"rough",
+"membership_mode":"pushed","tick_s":0.005,"limits":{"cancel":true,"max_pushes":3,"retry_after":true,
+"max_retry_after_s":3.0,"connect_timeout_s":0.2,"conn_idle_s":60.0},"prices":{"cross_zone":0.03},
+"rules":{"cold_from":0.13,"cold_s":24.0,"fall_multiple":3.0},
+"offerings":[{"name":"step, first","credit":5.0,"overdue_credit":0.2,"quoted_time_s":1.5,"cut_off_s":2.0,"idempotency":"retryable"},
+{"name":"note","credit":2.0,"overdue_credit":0.2,"quoted_time_s":1.5,"cut_off_s":4.0,"idempotency":"dedup","group":"cell","window_s":2.5}],
+"realms":[{"name":"x","quota_per_s":24.0},{"name":"y","quota_per_s":6.0}]}}`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestConfigurationIsRead(t *testing.T) {
+	post, err := Read(write(t, told), func(name string) string { return map[string]string{"GW_LISTEN": "127.9.9.9:1"}[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := post.Campaign
+	if post.Listen != "127.9.9.9:1" || post.Discovery != "127.2.0.1:8500" || post.Seed != 0x8c1f30d27a5be964 ||
+		post.Descriptors != 1024 || post.ConnectIn != policy.Second/5 || post.IdleFor != 60*policy.Second ||
+		post.Leave != longest+acceptFor || c.Zones != 2 || c.Sidecars != 3 || len(c.Offerings) != 2 || c.Quotas != 30 ||
+		c.Offerings[0].Name != "step, first" || c.Offerings[1].Group != policy.GroupCell || !c.Weighted {
+		t.Errorf("%+v\n%+v", post, c)
+	}
+}
+
+func TestBadConfigurationsAreToldInOneLine(t *testing.T) {
+	none := func(string) string { return "" }
+	for _, change := range [][2]string{{"{", ""}, {`"seed":"8c`, `"seed":"xx`}, {`"seed":"8c1f30d27a5be964",`, ""}, {"1024", "8"},
+		{"192", "1"}, {`"127.0.0.4:9000"`, `""`}, {`"tick_s":0.005,`, ""}, {`"rough"`, `"odd"`}, {"0.13", `"much"`},
+		{`"quoted_time_s":1.5`, `"quoted_time_s":-1`}, {`"offerings":[`, `"offers":[`}, {"0.2,", "{},"}, {`"conn_idle_s":60.0`, `"x":1`}} {
+		text := strings.Replace(told, change[0], change[1], 1)
+		_, err := Read(write(t, text), none)
+		if text == told || err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q for %q: %v", change[1], change[0], err)
+		}
+	}
+	if _, err := Read(filepath.Join(t.TempDir(), "none"), none); err == nil || strings.Contains(err.Error(), "\n") {
+		t.Errorf("no file: %v", err)
+	}
+}
--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -22,9 +22,8 @@
 	if s.conns.Count(state.Client) > s.conns.Most[state.Client] {
 		// Clients open more and more connections while all are slow. One between requests may be closed; where none
 		// is, there is room to answer the newcomer, not to keep it.
-		if old := s.conns.Oldest(state.Client, now-requestIn); old != nil {
+		if s.spare(state.Client, now-requestIn) {
 			s.Counters.ClientConnsCut++
-			s.close(old)
 		}
 	}
 }
--- a/internal/proto/leave.go
+++ b/internal/proto/leave.go
@@ -34,8 +34,8 @@
 	waiting := false
 	for c := range s.conns.Open {
 		if c.Side == state.Client && !c.Dead {
-			if c.Ticket == nil && c.In == nil && !c.Last {
-				s.close(c)
+			if c.Ticket == nil && c.In == nil && !c.Last && c.Link.Cut(c) {
+				s.conns.End(c)
 			}
 			waiting = true
 		}
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -8,6 +8,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 
 	"pepperlead/internal/state"
 	"pepperlead/policy"
@@ -118,23 +119,8 @@
 	}
 	for size := state.Small; ; size = state.Large {
 		buf := s.buffers.Get(size)
-		n, err := c.Read(buf.B[:cap(buf.B)])
-		if n <= 0 {
+		if !conn.Link.(*link).read(conn, buf) {
 			s.buffers.Put(buf)
-			switch err {
-			case syscall.EINTR:
-				continue
-			case syscall.EAGAIN:
-			default:
-				conn.Link.(*link).over()
-			}
-			return
-		}
-		buf.B = buf.B[:n]
-		// A peer that sends without end must not fill the memory before the loop comes to look.
-		if conn.Unread.Add(int64(n)) > mostUnread {
-			s.buffers.Put(buf)
-			conn.Link.Close()
 			return
 		}
 		s.post(event{what: arrived, conn: conn, buf: buf}) // it is the loop's from here on
@@ -149,6 +135,7 @@
 	fd   int
 	mu   sync.Mutex
 	gone bool // ended: the descriptor may be another's at any moment
+	cut  bool // what still comes is not read
 }
 
 func newLink(c *nbio.Conn) *link {
@@ -158,10 +145,43 @@
 	return l
 }
 
-func (l *link) over() {
+// read takes what is there, false if that is nothing.
+func (l *link) read(conn *state.Conn, buf *state.Buffer) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		l.gone = true
+		return false
+	}
+	for {
+		switch n, err := l.nb.Read(buf.B[:cap(buf.B)]); {
+		case n > 0:
+			buf.B = buf.B[:n]
+			// A peer that sends without end must not fill the memory before the loop comes to look.
+			if conn.Unread.Add(int64(n)) > mostUnread {
+				l.cut = true
+				syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
+				return false
+			}
+			return true
+		case err == syscall.EINTR:
+		default:
+			l.gone = l.gone || err != syscall.EAGAIN
+			return false
+		}
+	}
+}
+
+// Cut ends a connection on which nothing is under way. It refuses where bytes have come: their sender would take the end
+// for the loss of a request. What comes later is left unread, and so reset by the kernel: the client sends it again.
+func (l *link) Cut(conn *state.Conn) bool {
 	l.mu.Lock()
-	l.gone = true
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	if waiting, err := unix.IoctlGetInt(l.fd, unix.TIOCINQ); l.gone || conn.Unread.Load() > 0 || err != nil || waiting > 0 {
+		return false
+	}
+	l.cut = true
+	return syscall.Shutdown(l.fd, syscall.SHUT_RDWR) == nil
 }
 
 // Write sends what the kernel takes and leaves the rest to nbio. A failure is told by the poller, as the socket's end.
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -24,14 +24,10 @@
 		s.send(now, t)
 		return
 	}
-	if s.conns.Count(state.ToServer) >= s.conns.Most[state.ToServer] {
-		old := s.conns.Oldest(state.ToServer, now)
-		if old == nil {
-			// Every descriptor carries a push: nothing was sent, and that is no fault of the server.
-			s.ended(now, t, policy.NotSent)
-			return
-		}
-		s.close(old)
+	if s.conns.Count(state.ToServer) >= s.conns.Most[state.ToServer] && !s.spare(state.ToServer, now) {
+		// Every descriptor carries a push: nothing was sent, and that is no fault of the server.
+		s.ended(now, t, policy.NotSent)
+		return
 	}
 	c := &state.Conn{Side: state.ToServer, Server: server, Ticket: t}
 	c.Timer.Do = func(policy.Time) { s.close(c) }
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -99,6 +99,8 @@
 	if err := s.sockets.engine.Start(); err != nil {
 		return err
 	}
+	s.log.WithFields(logrus.Fields{"listen": s.post.Listen, "descriptors": s.post.Descriptors,
+		"buffers_mb": s.post.Memory >> 20}).Info("serving")
 	if !s.post.Campaign.MustAsk {
 		s.list.follow(now)
 	}
@@ -192,6 +194,16 @@
 	}
 }
 
+// spare makes room by ending the connection that has been without work for longest.
+func (s *Sidecar) spare(side state.Side, before policy.Time) bool {
+	old := s.conns.Oldest(side, before)
+	if old == nil || !old.Link.Cut(old) {
+		return false
+	}
+	s.conns.End(old)
+	return true
+}
+
 // closed gives back all that a connection held.
 func (s *Sidecar) closed(now, at policy.Time, c *state.Conn) {
 	if !s.conns.Remove(c) {
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/sirupsen/logrus"
 
 	"pepperlead/internal/state"
@@ -681,3 +682,40 @@
 	default:
 	}
 }
+
+// A connection with bytes on it is not cut: their sender would have lost a request.
+func TestOnlyQuietConnectionsAreCut(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	nb, err := nbio.NBConn(near)
+	if err != nil {
+		t.Fatal(err)
+	}
+	buffers, conn := &state.Buffers{}, &state.Conn{Link: newLink(nb)}
+	nb.SetSession(conn)
+	fmt.Fprint(far, "GET")
+	time.Sleep(20 * time.Millisecond) // for the kernel to have it at this end
+	if conn.Link.Cut(conn) {
+		t.Fatal("cut with bytes in the kernel")
+	}
+	buf := buffers.Get(state.Small)
+	if !conn.Link.(*link).read(conn, buf) || string(buf.B) != "GET" || conn.Link.Cut(conn) {
+		t.Error("cut with bytes that the loop has not looked at")
+	}
+	conn.Unread.Store(0)
+	if !conn.Link.Cut(conn) || conn.Link.(*link).read(conn, buf) {
+		t.Error("not cut, or read after it")
+	}
+}
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -10,6 +10,7 @@
 type Link interface {
 	Write(b []byte) (int, error)
 	Close() error
+	Cut(c *Conn) bool // closes it if nothing has come; the loop has heard of all else
 }
 
 // Side is who is at the other end.
