--- a/internal/proto/follow.go
+++ b/internal/proto/follow.go
@@ -23,6 +23,7 @@
 	asked   bool
 	version int64 // -1: the whole list is wanted
 	heard   bool  // some list is there
+	failed  int   // calls in a row
 	pause   policy.Time
 	due     state.Timer
 	members []policy.Member
@@ -95,7 +96,10 @@
 			f.fail(now, err.Error())
 			return
 		}
-		f.pause = tryAgain
+		if f.failed > 0 {
+			f.s.log.WithField("failed", f.failed).Info("list: calls are answered again")
+		}
+		f.pause, f.failed = tryAgain, 0
 		f.s.buffers.Put(c.In)
 		c.In = nil
 		if stays {
@@ -111,7 +115,9 @@
 // fail ends the call. Where the list comes by itself it is called again; else the module says when.
 func (f *follower) fail(now policy.Time, why string) {
 	f.s.Counters.ListFails++
-	f.s.log.WithField("why", why).Warn("list: call failed")
+	if f.failed++; f.failed == 1 {
+		f.s.log.WithField("why", why).Warn("list: calls fail")
+	}
 	f.asked = false
 	f.s.timers.Stop(&f.due)
 	if c := f.conn; c != nil {
