Accept clients only while there is room for them

Guards against: at the limit on descriptors nbio's second descriptor for a connection fails, and it closes the connection with whatever request is on it. The gate leaves clients in the kernel's queue until others have gone.

--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,26 +51,47 @@
 	events  []event
 	spare   []event
 	signal  chan struct{}
+	clients atomic.Int64 // accepted and not closed
+	most    int64        // of these
+}
+
+// gate lets clients in while there is room. One accepted without would have to be closed at once, and with it the request
+// that it may have sent; outside, it waits for as long as the queue of the kernel lasts.
+type gate struct {
+	net.Listener
+	s *sockets
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	for g.s.clients.Load() >= g.s.most {
+		time.Sleep(time.Millisecond)
+	}
+	return g.Listener.Accept()
 }
 
 // mostUnread is what one connection may have sent before the loop has looked at it: several times any message.
 const mostUnread = 512 << 10
 
-func newSockets(clock Clock, buffers *state.Buffers, listen string, descriptors int) *sockets {
-	s := &sockets{clock: clock, buffers: buffers, signal: make(chan struct{}, 1)}
+func newSockets(clock Clock, buffers *state.Buffers, listen string, descriptors, clients int) *sockets {
+	s := &sockets{clock: clock, buffers: buffers, signal: make(chan struct{}, 1), most: int64(clients)}
 	logging.SetLevel(logging.LevelNone)
 	// nbio holds a table of this size.
 	nbio.MaxOpenFiles = descriptors + 64
 	s.engine = nbio.NewEngine(nbio.Config{Name: "sidecar", Network: "tcp", Addrs: []string{listen}, NPoller: 1,
 		// Told of edges alone, nbio never changes what it waits for: with levels it can forget, when a
 		// connection comes up, that bytes are still to be written.
-		EpollMod: nbio.EPOLLET})
+		EpollMod: nbio.EPOLLET,
+		Listen: func(network, addr string) (net.Listener, error) {
+			l, err := net.Listen(network, addr)
+			return &gate{Listener: l, s: s}, err
+		}})
 	s.engine.OnOpen(func(c *nbio.Conn) {
 		conn, dialled := c.Session().(*state.Conn)
 		if dialled {
 			s.post(event{what: connected, conn: conn})
 			return
 		}
+		s.clients.Add(1)
 		conn = &state.Conn{Link: newLink(c), Side: state.Client}
 		c.SetSession(conn)
 		s.post(event{what: opened, conn: conn})
@@ -82,6 +104,9 @@
 	})
 	s.engine.OnClose(func(c *nbio.Conn, _ error) {
 		if conn, ok := c.Session().(*state.Conn); ok {
+			if conn.Side == state.Client {
+				s.clients.Add(-1)
+			}
 			s.post(event{what: closed, conn: conn})
 		}
 	})
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -80,7 +80,7 @@
 	for i, f := range post.Campaign.Franchises {
 		s.franchises[f.Name] = policy.FranchiseID(i)
 	}
-	s.sockets = newSockets(s.clock, s.buffers, post.Listen, post.Descriptors)
+	s.sockets = newSockets(s.clock, s.buffers, post.Listen, post.Descriptors, s.conns.Accept)
 	s.wake.Do = func(now policy.Time) { s.module.Woken(now) }
 	s.list.init(s)
 	s.module = policy.New(s, post.Campaign, post.Seed, s.clock.Now())
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -60,6 +60,7 @@
 	Open    map[*Conn]struct{}
 	Servers map[policy.ServerID]*Server
 	Most    [3]int // by side
+	Accept  int    // clients that may be open at once, those beyond Most to be turned back
 	open    [3]int
 	made    uint64
 	ending  [3]int // of these, closed but not yet told so
@@ -72,7 +73,8 @@
 // is for clients beyond that, who are answered at once and closed.
 func NewConns(descriptors int) *Conns {
 	each := max(4, (descriptors-ownDescriptors)*9/20)
-	return &Conns{Open: map[*Conn]struct{}{}, Servers: map[policy.ServerID]*Server{}, Most: [3]int{each, each, 2}}
+	return &Conns{Open: map[*Conn]struct{}{}, Servers: map[policy.ServerID]*Server{}, Most: [3]int{each, each, 2},
+		Accept: max(2*4, descriptors-ownDescriptors-each)}
 }
 
 // Count is how many connections are open, or being opened, on that side.
