--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -9,6 +9,7 @@
 
 const (
 	requestIn  = 10 * policy.Second       // for a request to come whole once it has begun
+	cutAfter   = policy.Second            // idle: a request may be on its way on one idle for less
 	flushEvery = 10 * policy.Millisecond  // between looks whether a last answer is out
 	lingerFor  = 300 * policy.Millisecond // for the client of a refused request to read why
 	flushIn    = 5 * policy.Second        // for a client to take a last answer
@@ -20,9 +21,9 @@
 	s.conns.Add(c)
 	s.Counters.ClientConns++
 	if s.conns.Count(state.Client) > s.conns.Most[state.Client] {
-		// Clients open more and more connections while all are slow. One between requests may be closed; where none
+		// Clients open more and more connections while all are slow. One that was long idle may be closed; where none
 		// is, there is room to answer the newcomer, not to keep it.
-		if s.spare(state.Client, now-requestIn) {
+		if s.spare(state.Client, now-cutAfter, now-requestIn) {
 			s.Counters.ClientConnsCut++
 		}
 	}
@@ -148,12 +149,16 @@
 
 // own sends an answer that no server made.
 func (s *Sidecar) own(now policy.Time, c *state.Conn, status int, body string, retryIn policy.Time, last bool) {
-	last = last || s.leaving
+	last = last || s.ending()
 	s.scratch = AppendOwn(s.scratch[:0], status, body, retryIn, last)
 	s.write(c, s.scratch)
 	s.free(now, c, last)
 }
 
+// ending tells whether a client's connection ends with its next answer. When room is short that is the one moment at which
+// no request can be on its way.
+func (s *Sidecar) ending() bool { return s.leaving || s.conns.Crowded(state.Client) }
+
 // free lets a client's connection go on to its next request, or closes it once the answer is out.
 func (s *Sidecar) free(now policy.Time, c *state.Conn, last bool) {
 	c.Ticket, c.Since, c.Used = nil, now, true
@@ -195,7 +200,7 @@
 func (s *Sidecar) honour(now policy.Time, t *state.Ticket, _ step) {
 	if c := s.answer(t); c != nil {
 		s.Counters.Honoured++
-		last := t.Last || s.leaving
+		last := t.Last || s.ending()
 		s.scratch = AppendHonour(s.scratch[:0], t.AnswerHead, len(t.AnswerBody), last)
 		if len(t.AnswerBody) <= state.Small {
 			s.scratch = append(s.scratch, t.AnswerBody...)
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -24,7 +24,7 @@
 		s.send(now, t)
 		return
 	}
-	if s.conns.Count(state.ToServer) >= s.conns.Most[state.ToServer] && !s.spare(state.ToServer, now) {
+	if s.conns.Count(state.ToServer) >= s.conns.Most[state.ToServer] && !s.spare(state.ToServer, now, now) {
 		// Every descriptor carries a push: nothing was sent, and that is no fault of the server.
 		s.ended(now, t, policy.NotSent)
 		return
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -195,8 +195,8 @@
 }
 
 // spare makes room by ending the connection that has been without work for longest.
-func (s *Sidecar) spare(side state.Side, before policy.Time) bool {
-	old := s.conns.Oldest(side, before)
+func (s *Sidecar) spare(side state.Side, idle, fresh policy.Time) bool {
+	old := s.conns.Oldest(side, idle, fresh)
 	if old == nil || !old.Link.Cut(old) {
 		return false
 	}
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -587,31 +587,34 @@
 	}
 }
 
-// With few descriptors all clients are still answered: the idle are cut, those beyond the limit turned back.
+// With few descriptors all clients are still answered: the long idle are cut, those beyond the limit turned back, and
+// while room is short each answer ends its connection.
 func TestMoreClientsThanDescriptors(t *testing.T) {
 	server := newStandIn(t)
 	r, _ := run(t, func(p *Post) { p.Descriptors = 30 }, server.Addr().String())
-	for range 20 {
+	for range 3 {
 		c := r.client()
 		c.send("step/echo", "b", "")
-		if answer, _ := c.receive(); answer.StatusCode != 200 {
-			t.Errorf("idle ones before it: %d", answer.StatusCode)
+		if answer, _ := c.receive(); answer.StatusCode != 200 || answer.Close {
+			t.Errorf("with room: %d, closes %v", answer.StatusCode, answer.Close)
 		}
 	}
+	time.Sleep(1050 * time.Millisecond)
 	var clients []*client
 	for range 40 {
 		c := r.client()
 		c.send("step/slow", "b", "")
 		clients = append(clients, c)
 	}
-	codes := map[int]int{}
+	codes, ended := map[int]int{}, map[bool]int{}
 	for _, c := range clients {
 		answer, _ := c.receive()
 		codes[answer.StatusCode]++
+		ended[answer.Close]++
 		c.Close()
 	}
-	if codes[200] == 0 || codes[503] == 0 || codes[200]+codes[503] != 40 {
-		t.Errorf("answers %v", codes)
+	if codes[200] == 0 || codes[503] == 0 || codes[200]+codes[503] != 40 || ended[true] < 20 {
+		t.Errorf("answers %v, ended %v", codes, ended)
 	}
 	time.Sleep(20 * time.Millisecond)
 	c := r.client()
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -88,6 +88,9 @@
 	k.open[c.Side]++
 }
 
+// Crowded tells whether there is little room left on that side.
+func (k *Conns) Crowded(side Side) bool { return 4*k.Count(side) > 3*k.Most[side] }
+
 // End marks a connection that is being closed.
 func (k *Conns) End(c *Conn) {
 	c.Dead = true
@@ -128,14 +131,14 @@
 	return false
 }
 
-// Oldest is the connection on that side that has been without work for longest, nil if there is none to spare. One that
-// has carried nothing yet is spared unless it came before the time given: its first work may be on the way, and whoever
-// sends that does not expect the connection to end.
-func (k *Conns) Oldest(side Side, before policy.Time) *Conn {
+// Oldest is the connection on that side that has been without work for longest, nil if there is none to spare: idle gives
+// the time since when it must have been idle, fresh the same for one that has carried nothing yet. The first work of such
+// a one may be on the way, and whoever sends that does not expect the connection to end.
+func (k *Conns) Oldest(side Side, idle, fresh policy.Time) *Conn {
 	var oldest *Conn
 	for c := range k.Open {
 		if c.Side != side || !c.Up || c.Dead || c.Ticket != nil || c.In != nil || c.Unread.Load() > 0 ||
-			!c.Used && c.Since > before {
+			c.Since > idle || !c.Used && c.Since > fresh {
 			continue
 		}
 		if oldest == nil || c.Since < oldest.Since || c.Since == oldest.Since && c.No < oldest.No {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -110,10 +110,13 @@
 		all = append(all, c)
 	}
 	all[4].Used, all[3].In = false, &Buffer{}
-	if got := k.Oldest(Client, 5); got != all[2] {
+	if got := k.Oldest(Client, 10, 5); got != all[2] {
 		t.Errorf("%+v", got)
 	}
-	if got := k.Oldest(Client, 6); got != all[4] {
+	if got := k.Oldest(Client, 10, 6); got != all[4] {
+		t.Errorf("%+v", got)
+	}
+	if got := k.Oldest(Client, 7, 5); got != nil {
 		t.Errorf("%+v", got)
 	}
 	k.End(all[4])
