--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -53,6 +53,7 @@
 	signal  chan struct{}
 	clients atomic.Int64 // accepted and not closed
 	most    int64        // of these
+	room    chan struct{}
 }
 
 // gate lets clients in while there is room. One accepted without would have to be closed at once, and with it the request
@@ -64,7 +65,7 @@
 
 func (g *gate) Accept() (net.Conn, error) {
 	for g.s.clients.Load() >= g.s.most {
-		time.Sleep(time.Millisecond)
+		<-g.s.room
 	}
 	return g.Listener.Accept()
 }
@@ -73,7 +74,7 @@
 const mostUnread = 512 << 10
 
 func newSockets(clock Clock, buffers *state.Buffers, listen string, descriptors, clients int) *sockets {
-	s := &sockets{clock: clock, buffers: buffers, signal: make(chan struct{}, 1), most: int64(clients)}
+	s := &sockets{clock: clock, buffers: buffers, signal: make(chan struct{}, 1), room: make(chan struct{}, 1), most: int64(clients)}
 	logging.SetLevel(logging.LevelNone)
 	// nbio holds a table of this size.
 	nbio.MaxOpenFiles = descriptors + 64
@@ -106,6 +107,10 @@
 		if conn, ok := c.Session().(*state.Conn); ok {
 			if conn.Side == state.Client {
 				s.clients.Add(-1)
+				select {
+				case s.room <- struct{}{}:
+				default:
+				}
 			}
 			s.post(event{what: closed, conn: conn})
 		}
