--- a/internal/proto/list.go
+++ b/internal/proto/list.go
@@ -236,10 +236,10 @@
 }
 
 func (j *jsonText) yes() (bool, error) {
-	for word, is := range map[string]bool{"true": true, "false": false} {
+	for _, word := range []string{"true", "false"} {
 		if bytes.HasPrefix(j.rest(), []byte(word)) {
 			j.at += len(word)
-			return is, nil
+			return word == "true", nil
 		}
 	}
 	return false, errList
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -722,3 +722,65 @@
 		t.Error("not cut, or read after it")
 	}
 }
+
+// sink is a socket that takes all and keeps the last of it.
+type sink struct {
+	conn *state.Conn
+	last []byte
+}
+
+func (k *sink) Write(b []byte) (int, error) {
+	k.last = append(k.last[:0], b...)
+	k.conn.Written.Add(int64(len(b)))
+	return len(b), nil
+}
+func (k *sink) Close() error         { return nil }
+func (k *sink) Cut(*state.Conn) bool { return true }
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	r, _ := run(t, nil, "127.0.0.1:1")
+	r.end()
+	s := New(r.post, r.log)
+	if err := s.list.apply(1, s.post.Known, true); err != nil {
+		t.Fatal(err)
+	}
+	connect := func(side state.Side) (*state.Conn, *sink) {
+		c := &state.Conn{Side: side, Up: true, Timer: state.Timer{Do: func(policy.Time) {}}}
+		k := &sink{conn: c}
+		c.Link = k
+		s.conns.Add(c)
+		return c, k
+	}
+	client, answers := connect(state.Client)
+	server, pushes := connect(state.ToServer)
+	for _, one := range s.conns.Servers {
+		server.Server = one
+		s.park(1, server)
+	}
+	request := []byte("GET /step/a HTTP/1.1\r\nHost: o\r\nX-Request-ID: 1\r\nX-Route-Key: k\r\nX-Timeout: 1\r\n\r\n")
+	answer := []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	now := s.clock.Now()
+	once := func() {
+		now += 20 * policy.Millisecond
+		buf := s.buffers.Get(state.Small)
+		buf.B = append(buf.B, request...)
+		client.In = s.buffers.Join(client.In, buf)
+		s.fromClient(now, now, client)
+		s.round(now)
+		buf = s.buffers.Get(state.Small)
+		buf.B = append(buf.B, answer...)
+		server.In = s.buffers.Join(server.In, buf)
+		s.fromServer(now+policy.Millisecond, server)
+		s.round(now + policy.Millisecond)
+	}
+	for range 500 {
+		once()
+	}
+	if n := testing.AllocsPerRun(200, once); n > 0 {
+		t.Errorf("%v allocations a ticket", n)
+	}
+	if !bytes.HasSuffix(answers.last, []byte("\r\n\r\nok")) || !bytes.HasPrefix(pushes.last, []byte("GET /step/a ")) ||
+		s.Counters.Honoured < 700 {
+		t.Errorf("%q %q %s", answers.last, pushes.last, s.Report())
+	}
+}
