--- a/cmd/pepperlead/main.go
+++ b/cmd/pepperlead/main.go
@@ -20,6 +20,7 @@
   serve     serve clients until SIGTERM
   check     read the configuration and say whether it can be served
   counters  print the counters of a sidecar that runs
+  servers   print the servers that it knows
   version   print the version
 
 'pepperlead COMMAND -h' lists a command's flags.
@@ -59,11 +60,11 @@
 			return err
 		}
 		return daemon.Serve(post, log)
-	case "counters":
+	case "counters", "servers":
 		at := flags.String("at", os.Getenv("GW_LISTEN"), "`address` of the sidecar (default $GW_LISTEN)")
 		flags.Parse(args[1:])
 		client := http.Client{Timeout: 2 * time.Second}
-		answer, err := client.Get("http://" + *at + "/_counters")
+		answer, err := client.Get("http://" + *at + "/_" + args[0])
 		if err != nil {
 			return err
 		}
--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
 	"pepperlead/internal/state"
 	"pepperlead/policy"
@@ -127,12 +129,29 @@
 		}
 	case "/_counters":
 		s.own(now, c, 200, s.Report(), 0, last)
+	case "/_servers":
+		s.own(now, c, 200, s.servers(), 0, last)
 	default:
 		return false
 	}
 	return true
 }
 
+// servers is the list as it stands, with the ids under which the module speaks of servers.
+func (s *Sidecar) servers() string {
+	var lines []string
+	for id, one := range s.conns.Servers {
+		standing := "ready"
+		if one.Leaving {
+			standing = "leaving"
+		}
+		lines = append(lines, fmt.Sprintf("%s id %d at %s in %s %s, %d connections idle\n", one.UID, id, one.Addr, one.Zone,
+			standing, len(one.Idle)))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
+
 // Report is the counters, and what is held now.
 func (s *Sidecar) Report() string {
 	return s.Counters.String() + fmt.Sprintf("tickets_in_hand %d\nclient_connections_open %d\n"+
--- a/internal/proto/follow.go
+++ b/internal/proto/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
-	"github.com/sirupsen/logrus"
 
 	"pepperlead/internal/state"
 	"pepperlead/policy"
@@ -187,13 +186,12 @@
 	if server == nil {
 		server = &state.Server{ID: m.ID, UID: at.uid, Addr: at.addr, Started: m.Started}
 		f.s.conns.Servers[m.ID] = server
-		f.s.log.WithFields(logrus.Fields{"uid": at.uid, "id": uint64(m.ID), "at": at.addr}).Info("list: new server")
 	}
 	if server.UID != at.uid {
 		f.s.log.WithField("uid", at.uid).Error("list: left out, has the id of " + server.UID)
 		return false
 	}
-	server.Leaving = m.Standing != policy.Ready
+	server.Leaving, server.Zone = m.Standing != policy.Ready, m.Zone
 	if server.Leaving || m.Started > server.Started || at.addr != server.Addr {
 		// Nothing more goes to one that leaves; one that has started anew knows nothing of old connections.
 		for len(server.Idle) > 0 {
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -496,6 +496,10 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	c := r.client()
+	io.WriteString(c, "GET /_servers HTTP/1.1\r\nHost: o\r\n\r\n")
+	if _, body := c.receive(); !strings.HasPrefix(body, "s-0 id ") || !strings.HasSuffix(body, " in a ready, 0 connections idle\n") {
+		t.Errorf("%q", body)
+	}
 	io.WriteString(c, "GET /_counters HTTP/1.1\r\nHost: o\r\nConnection: close\r\n\r\n")
 	if answer, body := c.receive(); answer.StatusCode != 200 || !strings.Contains(body, "\nlists 1\n") || !answer.Close {
 		t.Errorf("%d %q", answer.StatusCode, body)
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -50,6 +50,7 @@
 	ID      policy.ServerID
 	UID     string
 	Addr    string
+	Zone    policy.Zone
 	Started policy.Time
 	Leaving bool
 	Idle    []*Conn // last used last
