--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -239,6 +239,10 @@
 		e := s.ends[i]
 		t := e.ticket
 		s.Counters.Outcomes[e.outcome]++
+		if s.log.IsLevelEnabled(logrus.DebugLevel) {
+			s.log.Debugf("push %d to %d: outcome %d after %dus, sent at %d", t.PushNo, t.Server, e.outcome, e.spent/1000,
+				(t.SentAt/1000)%1e9)
+		}
 		t.Out = false
 		t.Pending++
 		s.module.PushEnded(now, t.Handle, t.PushNo, t.Server, e.outcome, e.spent, t.Settled)
