--- a/policy/policy.go
+++ b/policy/policy.go
@@ -565,7 +565,11 @@
 	s, quoted := &b.servers[p], b.campaign.Offerings[t.offering].Quoted
 	part := float64(spent) / float64(quoted)
 	if o != Honoured {
-		b.regulate(now, s, 1, min(spent, quoted), quoted)
+		if o != NotConnected {
+			// Connections to a lost data centre are refused within a millisecond, a dozen before its servers are
+			// set aside: that says nothing of how late the others are.
+			b.regulate(now, s, 1, min(spent, quoted), quoted)
+		}
 		if o == TimedOut {
 			s.ratio += 0.2 * (max(1, part) - s.ratio)
 		}
@@ -587,11 +591,7 @@
 		b.front.Log(fmt.Sprintf("server %d: back in full use", s.ID))
 	}
 	// The unloaded answer time is followed from below, so that a long overload is not taken for it.
-	pull := 0.0005
-	if s.ratio < b.calm {
-		pull = 0.05
-	}
-	b.calm += pull * (s.ratio - b.calm)
+	b.calm += 0.0005*max(0, s.ratio-b.calm) + 0.05*min(0, s.ratio-b.calm)
 	switch load := b.load(s); {
 	case load > crowded:
 		b.cut(now, s, max(0.5, crowded/load))
