--- a/policy/policy.go
+++ b/policy/policy.go
@@ -565,9 +565,9 @@
 	s, quoted := &b.servers[p], b.campaign.Offerings[t.offering].Quoted
 	part := float64(spent) / float64(quoted)
 	if o != Honoured {
-		if o != NotConnected {
-			// Connections to a lost data centre are refused within a millisecond, a dozen before its servers are
-			// set aside: that says nothing of how late the others are.
+		if o != NotConnected || spent >= b.campaign.Tick {
+			// Connections to a lost data centre are refused at once, a dozen before its servers are set aside:
+			// that says nothing of how late the others are.
 			b.regulate(now, s, 1, min(spent, quoted), quoted)
 		}
 		if o == TimedOut {
