--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -393,9 +393,10 @@
 	for spent, want := range map[Time]bool{Millisecond / 2: false, Second / 5: true} {
 		b, q := started(fleet(6, "a"))
 		for i := range 12 {
-			h := b.Admit(Second, 0, NoFranchise, fmt.Sprint(i), false, 4*Second)
-			b.Begin(Second, h)
-			b.PushEnded(Second+spent, h, 0, q.to[len(q.to)-1], NotConnected, spent, true)
+			now := Second + Time(i)*Second/4
+			h := b.Admit(now, 0, NoFranchise, fmt.Sprint(i), false, 4*Second)
+			b.Begin(now, h)
+			b.PushEnded(now+spent, h, 0, q.to[len(q.to)-1], NotConnected, spent, true)
 		}
 		if (b.late > 0.5) != want {
 			t.Errorf("refused after %dus: lateness %.2f", spent/1000, b.late)
