--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -39,6 +39,10 @@
 		case fault != 0:
 			s.bad(now, c, fault, "the request cannot be read\n")
 			return
+		case n == 0 && s.buffers.Full():
+			// Requests that come in pieces must not fill the memory from outside of all tickets.
+			s.overflow(now, c)
+			return
 		case n == 0:
 			if !c.Timer.On() {
 				s.timers.Set(&c.Timer, now+requestIn)
@@ -96,9 +100,8 @@
 	case s.buffers.Full() || s.conns.Count(state.Client) > s.conns.Most[state.Client]:
 		// Out of memory or descriptors: an answer costs nothing, the ticket might cost the process. Nothing has been
 		// pushed, so coming again is harmless.
-		s.Counters.Overflow++
 		s.buffers.Put(buf)
-		s.own(now, c, 503, "out of room\n", 0, true)
+		s.overflow(now, c)
 		return
 	}
 	franchise, known := s.franchises[string(field(head, "X-Tenant-Id"))]
@@ -118,6 +121,12 @@
 	s.module.Begin(now, h)
 }
 
+// overflow answers a request for which there is no room.
+func (s *Sidecar) overflow(now policy.Time, c *state.Conn) {
+	s.Counters.Overflow++
+	s.own(now, c, 503, "out of room\n", 0, true)
+}
+
 // aside answers what is asked of the sidecar itself.
 func (s *Sidecar) aside(now policy.Time, c *state.Conn, target []byte, last bool) bool {
 	switch string(target) {
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -636,9 +636,13 @@
 // Full memory is answered, not filled further.
 func TestFullMemoryTurnsBack(t *testing.T) {
 	r, _ := run(t, func(p *Post) { p.Memory = 0 }, newStandIn(t).Addr().String())
-	for range 3 {
+	for i := range 3 {
 		c := r.client()
-		c.send("step/echo", "b", "")
+		if i < 2 {
+			c.send("step/echo", "b", "")
+		} else {
+			io.WriteString(c, "POST /step/echo HTTP/1.1\r\nHost: o\r\nContent-Length: 60000\r\n\r\npart")
+		}
 		if answer, _ := c.receive(); answer.StatusCode != 503 {
 			t.Errorf("%d", answer.StatusCode)
 		}
