--- a/internal/proto/follow.go
+++ b/internal/proto/follow.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	hold      = 20 * policy.Second // for a watch to wait for news
-	answerIn  = 2 * policy.Second  // beyond that, for an answer to come
-	tryAgain  = 100 * policy.Millisecond
-	tryAtMost = 2 * policy.Second
+	hold       = 20 * policy.Second // for a watch to wait for news
+	answerIn   = 2 * policy.Second  // beyond that, for an answer to come
+	tryAgain   = 100 * policy.Millisecond
+	tryAtMost  = 2 * policy.Second
+	nothingNew = 50 * policy.Millisecond // to the next call; a watch ends after 200 ms without one
 )
 
 // follower keeps up with the list of servers: the whole of it, then one watch after another.
@@ -26,12 +27,11 @@
 	pause   policy.Time
 	due     state.Timer
 	members []policy.Member
-	addrs   []place
+	spots   []spot
 }
 
-type place struct {
-	uid, addr string
-}
+// spot is where a server named by its uid is.
+type spot struct{ uid, addr string }
 
 func (f *follower) init(s *Sidecar) {
 	f.s, f.version, f.pause = s, -1, tryAgain
@@ -41,6 +41,8 @@
 			f.connect(now)
 		case f.asked:
 			f.fail(now, "no answer in time")
+		default:
+			f.ask(now)
 		}
 	}
 }
@@ -90,6 +92,7 @@
 	case n > 0:
 		f.asked = false
 		f.s.timers.Stop(&f.due)
+		before := f.version
 		if err := f.apply(now, body, false); err != nil {
 			f.version = -1 // what else it said is not known, so all is asked for
 			f.fail(now, err.Error())
@@ -101,12 +104,16 @@
 		f.pause, f.failed = tryAgain, 0
 		f.s.buffers.Put(c.In)
 		c.In = nil
-		if stays {
-			f.ask(now)
-		} else {
+		switch {
+		case !stays:
 			f.s.close(c)
 			f.conn = nil
 			f.connect(now)
+		case f.version == before:
+			// Were nothing new answered at once, again and again, the calls would fill the core.
+			f.s.timers.Set(&f.due, now+nothingNew)
+		default:
+			f.ask(now)
 		}
 	}
 }
@@ -143,12 +150,12 @@
 
 // apply hands a list to the module, if all of it can be read: else the last one stands.
 func (f *follower) apply(now policy.Time, body []byte, saved bool) error {
-	f.members, f.addrs = f.members[:0], f.addrs[:0]
+	f.members, f.spots = f.members[:0], f.spots[:0]
 	version, full, err := ReadList(body, func(uid, addr, zone []byte, cell policy.Cell, standing policy.Standing,
 		weight float64, started policy.Time) error {
 		f.members = append(f.members, policy.Member{ID: policy.ServerID(xxhash.Sum64(uid)), Weight: weight, Cell: cell,
 			Zone: policy.Zone(zone), Standing: standing, Started: started})
-		f.addrs = append(f.addrs, place{string(uid), string(addr)})
+		f.spots = append(f.spots, spot{string(uid), string(addr)})
 		return nil
 	})
 	if err != nil {
@@ -159,7 +166,7 @@
 	f.s.Counters.ListEntries += len(f.members)
 	kept := f.members[:0]
 	for i, m := range f.members {
-		if f.know(m, f.addrs[i]) {
+		if f.know(m, f.spots[i]) {
 			kept = append(kept, m)
 		}
 	}
@@ -181,7 +188,7 @@
 
 // know keeps where a server is. Two servers never share an id: by 64 bits of a hash they hardly could, and the
 // second is then left out.
-func (f *follower) know(m policy.Member, at place) bool {
+func (f *follower) know(m policy.Member, at spot) bool {
 	server := f.s.conns.Servers[m.ID]
 	if server == nil {
 		server = &state.Server{ID: m.ID, UID: at.uid, Addr: at.addr, Started: m.Started}
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -240,8 +240,7 @@
 		t := e.ticket
 		s.Counters.Outcomes[e.outcome]++
 		if s.log.IsLevelEnabled(logrus.DebugLevel) {
-			s.log.Debugf("push %d to %d: outcome %d after %dus, sent at %d", t.PushNo, t.Server, e.outcome, e.spent/1000,
-				(t.SentAt/1000)%1e9)
+			s.log.Debugf("push %d to server %d: outcome %d after %d us", t.PushNo, t.Server, e.outcome, e.spent/1000)
 		}
 		t.Out = false
 		t.Pending++
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -123,6 +123,7 @@
 	told  string
 	news  chan struct{}
 	calls []string
+	hasty bool // answers at once, also if there is nothing new
 }
 
 func newAgent(t *testing.T, told string) *agent {
@@ -135,9 +136,9 @@
 	server := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.mu.Lock()
 		a.calls = append(a.calls, r.URL.String())
-		known, news := fmt.Sprint(a.rev), a.news
+		known, news, hasty := fmt.Sprint(a.rev), a.news, a.hasty
 		a.mu.Unlock()
-		if r.URL.Query().Get("from") == known {
+		if !hasty && r.URL.Query().Get("from") == known {
 			select {
 			case <-news:
 			case <-r.Context().Done():
@@ -548,14 +549,29 @@
 	}
 }
 
+// Discovery that never waits must not be asked in a circle.
+func TestNothingNewIsNotAskedForWithoutPause(t *testing.T) {
+	_, a := run(t, nil, newStandIn(t).Addr().String())
+	a.mu.Lock()
+	a.hasty = true
+	a.mu.Unlock()
+	a.tell(strings.Replace(a.told, `"rev":1`, `"rev":REV`, 1))
+	time.Sleep(300 * time.Millisecond)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if n := len(a.calls); n < 4 || n > 12 {
+		t.Errorf("%d calls", n)
+	}
+}
+
 // Two servers whose ids fall together must not be taken for one.
 func TestServersNeverShareAnID(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := New(Post{Listen: "127.0.0.1:0", Descriptors: 64, Campaign: &policy.Campaign{Sidecars: 1}}, log)
 	m := policy.Member{ID: 7}
-	if !s.list.know(m, place{"a", "127.0.0.1:1"}) || s.list.know(m, place{"b", "127.0.0.1:2"}) ||
-		!s.list.know(m, place{"a", "127.0.0.1:3"}) || s.conns.Servers[7].Addr != "127.0.0.1:3" {
+	if !s.list.know(m, spot{"a", "127.0.0.1:1"}) || s.list.know(m, spot{"b", "127.0.0.1:2"}) ||
+		!s.list.know(m, spot{"a", "127.0.0.1:3"}) || s.conns.Servers[7].Addr != "127.0.0.1:3" {
 		t.Error("two servers were merged")
 	}
 }
