Stop dialling discovery once it is no longer followed; tests keep to addresses of their own

Seen: six runs of the tests side by side: a connection to discovery left open at the end, and tests that met others' servers on reused ports. At fault: the list's timer connected again after stop (follow.go).

--- a/internal/proto/follow.go
+++ b/internal/proto/follow.go
@@ -37,6 +37,7 @@
 	f.s, f.version, f.pause = s, -1, tryAgain
 	f.due.Do = func(now policy.Time) {
 		switch {
+		case !f.on:
 		case f.conn == nil:
 			f.connect(now)
 		case f.asked:
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -22,6 +22,9 @@
 	"pepperlead/policy"
 )
 
+// here is an address of this run's own, so that runs side by side never meet on a port that one has just left.
+var here = fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()>>14%64, os.Getpid()>>7%128, 1+os.Getpid()%128)
+
 // standIn is a server of the fleet that does as the path says, and writes down what it was sent.
 type standIn struct {
 	net.Listener
@@ -33,7 +36,7 @@
 
 func newStandIn(t *testing.T) *standIn {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", here)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +131,7 @@
 
 func newAgent(t *testing.T, told string) *agent {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", here)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -190,7 +193,7 @@
 	t.Helper()
 	told := strings.Replace(listOf(addrs...), "REV", "1", 1)
 	a := newAgent(t, told)
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := net.Listen("tcp", here)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -413,7 +416,7 @@
 
 // A request that did not go out whole has not run: here the server reads nothing, so the kernel takes only a part.
 func TestCutOffBeforeTheLastByteIsNoRun(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", here)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -713,7 +716,7 @@
 
 // A connection with bytes on it is not cut: their sender would have lost a request.
 func TestOnlyQuietConnectionsAreCut(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", here)
 	if err != nil {
 		t.Fatal(err)
 	}
