Fix a crash on a request for the path /; feed the whole sidecar generated bytes

Seen on reading request(): target[1] with a target of one byte. The parsers' tests could not reach it, so a test now feeds mutated requests, answers and lists to a sidecar without sockets (5,000 histories): it found the crash at once with the old line, and finds nothing else. Also there: all is given back after each history.

Dialling can be replaced in tests, so that addresses from mutated lists are never dialled.

--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -71,7 +71,7 @@
 // request makes a ticket of a whole request, or answers it.
 func (s *Sidecar) request(now, at policy.Time, c *state.Conn, buf *state.Buffer, method, target, head, body []byte,
 	last bool) {
-	if target[1] == '_' && s.aside(now, c, target, last) {
+	if strings.HasPrefix(text(target), "/_") && s.aside(now, c, target, last) {
 		s.buffers.Put(buf)
 		return
 	}
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -46,7 +46,7 @@
 	clock   Clock
 	buffers *state.Buffers
 	engine  *nbio.Engine
-	dialer  net.Dialer
+	connect func(addr string, within policy.Time) (net.Conn, error)
 	mu      sync.Mutex
 	events  []event
 	spare   []event
@@ -74,7 +74,7 @@
 const mostUnread = 512 << 10
 
 func newSockets(clock Clock, buffers *state.Buffers, listen string, descriptors, clients int) *sockets {
-	s := &sockets{clock: clock, buffers: buffers, signal: make(chan struct{}, 1), room: make(chan struct{}, 1), most: int64(clients)}
+	s := &sockets{clock: clock, buffers: buffers, connect: connect, signal: make(chan struct{}, 1), room: make(chan struct{}, 1), most: int64(clients)}
 	logging.SetLevel(logging.LevelNone)
 	// nbio holds a table of this size.
 	nbio.MaxOpenFiles = descriptors + 64
@@ -245,12 +245,16 @@
 	return syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
 }
 
+func connect(addr string, within policy.Time) (net.Conn, error) {
+	d := net.Dialer{Timeout: time.Duration(within), KeepAlive: -1}
+	return d.Dial("tcp", addr)
+}
+
 // dial opens the connection and tells the loop; dialling waits in a goroutine, as nbio's own neither says which
 // connection failed nor lets one be told apart before it is up.
 func (s *sockets) dial(conn *state.Conn, addr string, within policy.Time) {
 	go func() {
-		d := net.Dialer{Timeout: time.Duration(within), KeepAlive: -1}
-		up, err := d.Dial("tcp", addr)
+		up, err := s.connect(addr, within)
 		if err != nil {
 			s.post(event{what: closed, conn: conn})
 			return
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/quick"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -467,6 +468,8 @@
 		"POST /note/echo HTTP/1.1\r\nHost: o\r\nX-Request-ID: a\r\nX-Timeout: 1\r\n\r\n":               400, // no mark
 		"TRACE /step/echo HTTP/1.1\r\nHost: o\r\nX-Request-ID: a\r\nX-Timeout: 1\r\n\r\n":              400,
 		"GET /other/echo HTTP/1.1\r\nHost: o\r\nX-Request-ID: a\r\nX-Timeout: 1\r\n\r\n":               404,
+		"GET / HTTP/1.1\r\nHost: o\r\nX-Request-ID: a\r\nX-Timeout: 1\r\n\r\n":                         404,
+		"GET /? HTTP/1.1\r\nHost: o\r\nX-Request-ID: a\r\nX-Timeout: 1\r\n\r\n":                        404,
 		"GET /_what HTTP/1.1\r\nHost: o\r\n\r\n":                                                       404,
 		"POST /step HTTP/1.1\r\nHost: o\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("b", 70000): 413,
 		"GET /step HTTP/1.1\r\nHost: o\r\nX-A: " + strings.Repeat("b", 300<<10) + "\r\n\r\n":           431,
@@ -765,20 +768,27 @@
 func (k *sink) Close() error         { return nil }
 func (k *sink) Cut(*state.Conn) bool { return true }
 
-func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+// still is a sidecar that knows one server and does not run, and a way to connect to it without sockets.
+func still(t *testing.T) (*Sidecar, func(side state.Side) (*state.Conn, *sink)) {
+	t.Helper()
 	r, _ := run(t, nil, "127.0.0.1:1")
 	r.end()
 	s := New(r.post, r.log)
+	s.sockets.connect = func(string, policy.Time) (net.Conn, error) { return nil, net.ErrClosed }
 	if err := s.list.apply(1, s.post.Known, true); err != nil {
 		t.Fatal(err)
 	}
-	connect := func(side state.Side) (*state.Conn, *sink) {
+	return s, func(side state.Side) (*state.Conn, *sink) {
 		c := &state.Conn{Side: side, Up: true, Timer: state.Timer{Do: func(policy.Time) {}}}
 		k := &sink{conn: c}
 		c.Link = k
 		s.conns.Add(c)
 		return c, k
 	}
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	s, connect := still(t)
 	client, answers := connect(state.Client)
 	server, pushes := connect(state.ToServer)
 	for _, one := range s.conns.Servers {
@@ -897,3 +907,71 @@
 		t.Errorf("the histories reach too little: %s", k.String())
 	}
 }
+
+// Whatever clients, servers and discovery say, in whatever pieces: the process goes on, and all is given back.
+func TestNothingReadEndsTheProcess(t *testing.T) {
+	s, connect := still(t)
+	texts := []string{"GET /step/a HTTP/1.1\r\nHost: o\r\nX-Request-ID: 1\r\nX-Route-Key: k\r\nX-Timeout: 1\r\n\r\n",
+		"POST /note HTTP/1.1\r\nHost: o\r\nX-Request-ID: 1\r\nIdempotency-Key: 2\r\nX-Timeout: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: o\r\nConnection: close\r\n\r\n", "GET /_health HTTP/1.1\r\nHost: o\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)}
+	now := s.clock.Now()
+	feed := func(seed int64) bool {
+		rnd := rand.New(rand.NewSource(seed))
+		client, _ := connect(state.Client)
+		server, _ := connect(state.ToServer)
+		client.Timer.Do = func(now policy.Time) { s.clientDue(now, client) }
+		for _, one := range s.conns.Servers {
+			server.Server = one
+			s.park(now, server)
+			break
+		}
+		agent, _ := connect(state.ToList)
+		s.list.conn, s.list.on = agent, true
+		s.list.ask(now)
+		for range 6 {
+			now += policy.Time(rnd.Intn(int(policy.Second / 4)))
+			in := []byte(texts[rnd.Intn(len(texts))])
+			for range rnd.Intn(4) {
+				switch i := rnd.Intn(len(in)); rnd.Intn(3) {
+				case 0:
+					in[i] = byte(rnd.Intn(256))
+				case 1:
+					in = append(in[:i:i], in[rnd.Intn(len(in)):]...)
+				default:
+					in = append(in, in[:i]...)
+				}
+				if len(in) == 0 {
+					in = []byte{0}
+				}
+			}
+			c := []*state.Conn{client, server, agent}[rnd.Intn(3)]
+			buf := s.buffers.Get(len(in))
+			buf.B = append(buf.B, in...)
+			s.happened(now, event{what: arrived, conn: c, buf: buf, at: now})
+			s.tell(now)
+			s.round(now)
+		}
+		for _, c := range []*state.Conn{client, server, agent} {
+			s.happened(now, event{what: closed, conn: c, at: now})
+			s.tell(now)
+			s.round(now)
+		}
+		s.list.stop()
+		now += 2 * policy.Second
+		for i := 0; i < 1000 && (i < 2 || len(s.conns.Open) > 0); i++ { // what is being dialled fails by itself
+			s.round(now)
+			if i > 2 {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+		return s.tickets.Held == 0 && s.buffers.Lent() == 0 && len(s.conns.Open) == 0
+	}
+	if err := quick.Check(feed, &quick.Config{MaxCount: 5000, Rand: rand.New(rand.NewSource(9))}); err != nil {
+		t.Error(err, s.Report())
+	}
+	if k := s.Counters; k.Honoured == 0 || k.Bad == 0 || k.Outcomes[policy.ConnBroke] == 0 || k.ListFails == 0 {
+		t.Errorf("too little was reached: %s", k.String())
+	}
+}
