--- a/cmd/pepperlead/main.go
+++ b/cmd/pepperlead/main.go
@@ -17,7 +17,7 @@
 
 const usage = `usage: pepperlead COMMAND [flags]
 
-  serve     serve clients until SIGTERM
+  serve     serve clients until SIGTERM; SIGHUP reads the configuration anew
   check     read the configuration and say whether it can be served
   counters  print the counters of a sidecar that runs
   servers   print the servers that it knows
@@ -59,7 +59,7 @@
 		if log.Level, err = logrus.ParseLevel(*level); err != nil {
 			return err
 		}
-		return daemon.Serve(post, log)
+		return daemon.Serve(post, *path, log)
 	case "counters", "servers":
 		at := flags.String("at", os.Getenv("GW_LISTEN"), "`address` of the sidecar (default $GW_LISTEN)")
 		flags.Parse(args[1:])
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	bufferPart = 0.35                     // of the memory allowed, for messages in hand
-	heapPart   = 0.6                      // the garbage collector keeps the heap under it
-	acceptFor  = 450 * policy.Millisecond // after SIGTERM: 50 ms more than clients are said to come
-	longest    = 3 * policy.Second        // cut-off that is waited for after SIGTERM
+	bufferPercent = 35                       // of the memory allowed, for messages in hand
+	heapPart      = 0.6                      // the garbage collector keeps the heap under it
+	acceptFor     = 450 * policy.Millisecond // after SIGTERM: 50 ms more than clients are said to come
+	longest       = 3 * policy.Second        // cut-off that is waited for after SIGTERM
 )
 
 // Read makes a post of the configuration in the file, and of what the environment says of the same.
@@ -121,14 +121,13 @@
 	return nil
 }
 
-// Serve runs a sidecar until it is told to end.
-func Serve(post proto.Post, log *logrus.Logger) error {
+// Serve runs a sidecar from the configuration in the file until it is told to end.
+func Serve(post proto.Post, path string, log *logrus.Logger) error {
 	// One thread may stand in the kernel waiting for sockets while another works, also where there is one core: with
 	// one alone the loop would start only when the runtime notices, up to 10 ms later.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	memory := float64(post.Memory)
-	debug.SetMemoryLimit(int64(memory * heapPart))
-	post.Memory = int(memory * bufferPart)
+	debug.SetMemoryLimit(int64(float64(post.Memory) * heapPart))
+	post.Memory = post.Memory * bufferPercent / 100
 	// What the sidecar may hold is kept by itself; the kernel keeps it where clients come faster than they are told so.
 	limit := syscall.Rlimit{Cur: uint64(post.Descriptors), Max: uint64(post.Descriptors)}
 	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
@@ -136,10 +135,39 @@
 	}
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	fresh := make(chan proto.Post)
+	go reread(path, post, again, fresh, log)
 	s := proto.New(post, log)
-	if err := s.Run(stop); err != nil {
+	if err := s.Run(stop, fresh); err != nil {
 		return err
 	}
 	log.Info("end: " + strings.ReplaceAll(strings.TrimSpace(s.Report()), "\n", ", "))
 	return nil
 }
+
+// reread reads the file anew at each signal and hands on what can be served. Reading takes its time, so the loop is not held
+// up by it.
+func reread(path string, now proto.Post, again <-chan os.Signal, fresh chan<- proto.Post, log *logrus.Logger) {
+	inFile, _ := Read(path, func(string) string { return "" })
+	for range again {
+		next, err := Read(path, func(name string) string {
+			if name == "GW_DISCOVERY" {
+				return "" // the environment is as old as the process; what the file says now is newer
+			}
+			return os.Getenv(name)
+		})
+		if err != nil {
+			// A mistake in the file must not end what serves.
+			log.WithError(err).Error("new configuration: left out, the old one stays")
+			continue
+		}
+		if next.Discovery != inFile.Discovery {
+			inFile.Discovery, now.Discovery = next.Discovery, next.Discovery
+		}
+		next.Discovery = now.Discovery
+		next.Memory = next.Memory * bufferPercent / 100
+		fresh <- next
+	}
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -4,8 +4,13 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"pepperlead/internal/proto"
 	"pepperlead/policy"
 )
 
@@ -57,3 +62,49 @@
 		t.Errorf("no file: %v", err)
 	}
 }
+
+// The file is read anew at a signal; one that cannot be served is a line in the log, and the next good one counts again.
+func TestFileIsReadAgain(t *testing.T) {
+	path := write(t, told)
+	post, err := Read(path, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	post.Discovery = "127.2.0.9:1" // as the environment had it
+	lines := make(chanWriter)
+	log := logrus.New()
+	log.SetOutput(lines)
+	again, fresh := make(chan os.Signal), make(chan proto.Post)
+	ended := make(chan bool)
+	go func() { reread(path, post, again, fresh, log); close(ended) }()
+	for _, k := range []struct{ in, discovery string }{{told, "127.2.0.9:1"}, {"{", ""},
+		{strings.Replace(told, "127.2.0.1", "127.2.0.2", 1), "127.2.0.2:8500"}, {strings.Replace(told, `"seed"`, `"s"`, 1), ""},
+		{told, "127.2.0.1:8500"}} {
+		if err := os.WriteFile(path, []byte(k.in), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		again <- syscall.SIGHUP
+		select {
+		case line := <-lines:
+			if k.discovery != "" || strings.Count(line, "\n") != 1 || !strings.Contains(line, "the old one stays") {
+				t.Errorf("for %.20q: %s", k.in, line)
+			}
+		case next := <-fresh:
+			if next.Discovery != k.discovery || next.Memory != post.Memory*bufferPercent/100 {
+				t.Errorf("%s, %d bytes; want %s", next.Discovery, next.Memory, k.discovery)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("not read")
+		}
+	}
+	close(again)
+	<-ended
+}
+
+// chanWriter hands on what is written.
+type chanWriter chan string
+
+func (c chanWriter) Write(b []byte) (int, error) {
+	c <- string(b)
+	return len(b), nil
+}
--- a/internal/proto/follow.go
+++ b/internal/proto/follow.go
@@ -59,6 +59,19 @@
 
 func (f *follower) stop() { f.on = false }
 
+// move goes over to discovery at another address, whose versions need not be those of the old: the whole list is asked for.
+func (f *follower) move(now policy.Time) {
+	f.version, f.asked, f.failed, f.pause = -1, false, 0, tryAgain
+	f.s.timers.Stop(&f.due)
+	if c := f.conn; c != nil {
+		f.conn = nil
+		f.s.close(c)
+	}
+	if f.on {
+		f.connect(now)
+	}
+}
+
 func (f *follower) connect(now policy.Time) {
 	f.conn = &state.Conn{Side: state.ToList}
 	f.conn.Timer.Do = func(policy.Time) {}
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -87,8 +87,8 @@
 	return s
 }
 
-// Run serves until a signal comes and all in hand is answered.
-func (s *Sidecar) Run(stop <-chan os.Signal) error {
+// Run serves until a signal comes and all in hand is answered, and goes over to each new configuration.
+func (s *Sidecar) Run(stop <-chan os.Signal, fresh <-chan Post) error {
 	now := s.clock.Now()
 	if len(s.post.Known) > 0 {
 		// A saved list that cannot be read is no reason not to serve: discovery has a newer one.
@@ -124,6 +124,8 @@
 		case <-alarm.C:
 		case <-stop:
 			s.leave(s.clock.Now())
+		case post := <-fresh:
+			s.renew(s.clock.Now(), post)
 		}
 	}
 }
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -186,6 +186,7 @@
 	t    *testing.T
 	addr string
 	stop chan os.Signal
+	new  chan Post
 	done chan error
 }
 
@@ -213,8 +214,9 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r := &running{Sidecar: New(post, log), t: t, addr: post.Listen, stop: make(chan os.Signal, 1), done: make(chan error, 1)}
-	go func() { r.done <- r.Run(r.stop) }()
+	r := &running{Sidecar: New(post, log), t: t, addr: post.Listen, stop: make(chan os.Signal, 1),
+		new: make(chan Post), done: make(chan error, 1)}
+	go func() { r.done <- r.Run(r.stop, r.new) }()
 	for i := 0; ; i++ {
 		if c, err := net.Dial("tcp", r.addr); err == nil {
 			c.Close()
@@ -582,6 +584,61 @@
 	}
 }
 
+// A new configuration moves discovery and nothing else: tickets in hand are answered, and connections to servers stay.
+func TestNewConfigurationUnderLoad(t *testing.T) {
+	old, new := newStandIn(t), newStandIn(t)
+	r, first := run(t, nil, old.Addr().String())
+	second := newAgent(t, strings.Replace(listOf(old.Addr().String()+" Terminating", new.Addr().String()), "REV", "1", 1))
+	slow, kept := r.client(), r.client()
+	kept.send("step/echo", "a", "")
+	kept.receive()
+	slow.send("once/slow", "b", "")
+	time.Sleep(20 * time.Millisecond)
+	post := r.post
+	post.Discovery = second.Addr().String()
+	r.new <- post
+	first.Close()
+	if answer, got := slow.receive(); answer.StatusCode != 200 || got != "b" || answer.Close {
+		t.Errorf("in hand: %d %q, closes %v", answer.StatusCode, got, answer.Close)
+	}
+	for i := 0; ; i++ {
+		id := kept.send("step/echo", "c", "")
+		if answer, _ := kept.receive(); answer.StatusCode != 200 {
+			t.Errorf("%d", answer.StatusCode)
+		}
+		if n, _ := new.count(id); n > 0 {
+			break
+		}
+		if i > 500 {
+			t.Fatal("the new discovery is not followed")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	post.Campaign = &policy.Campaign{Offerings: []policy.Offering{{Name: "other"}}}
+	r.new <- post // what the module counts by cannot change under it
+	kept.send("step/echo", "d", "")
+	if answer, _ := kept.receive(); answer.StatusCode != 200 {
+		t.Errorf("after settings of another shape: %d", answer.StatusCode)
+	}
+	changed := *r.post.Campaign
+	changed.Advice = 2 * policy.Second
+	post.Campaign = &changed
+	r.new <- post
+	kept.send("step/away", "e", "")
+	if answer, _ := kept.receive(); answer.StatusCode != 503 {
+		t.Errorf("turned away: %d", answer.StatusCode)
+	}
+	second.mu.Lock()
+	if len(second.calls) < 2 || second.calls[0] != "/catalog/members" {
+		t.Errorf("asked %v", second.calls)
+	}
+	second.mu.Unlock()
+	r.end()
+	if r.Counters.Renewals != 3 || r.post.Campaign.Advice != 2*policy.Second {
+		t.Errorf("renewed %d times, advice %d", r.Counters.Renewals, r.post.Campaign.Advice)
+	}
+}
+
 func TestLeaving(t *testing.T) {
 	server := newStandIn(t)
 	r, _ := run(t, func(p *Post) { p.Accept, p.Leave = 200*policy.Millisecond, 600*policy.Millisecond }, server.Addr().String())
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -16,6 +16,7 @@
 	Pushes, Dials, Reused         int
 	Outcomes                      [policy.NotSent + 1]int
 	Lists, ListEntries, ListFails int
+	Renewals                      int // new configurations gone over to
 	BytesIn, BytesOut             int64
 }
 
@@ -43,6 +44,7 @@
 	line("lists", c.Lists)
 	line("list_entries", c.ListEntries)
 	line("list_failures", c.ListFails)
+	line("configurations_renewed", c.Renewals)
 	line("bytes_in", c.BytesIn)
 	line("bytes_out", c.BytesOut)
 	return b.String()
