--- a/internal/proto/answer.go
+++ b/internal/proto/answer.go
@@ -101,4 +101,4 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
-	413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable"}
+	409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable"}
--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -1,17 +1,22 @@
 package proto
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pepperlead/internal/state"
 	"pepperlead/policy"
 )
 
 const (
-	requestIn  = 10 * policy.Second       // for a request to come whole once it has begun
-	cutAfter   = policy.Second            // idle: a request may be on its way on one idle for less
+	requestIn  = 2 * policy.Second        // for a request to come whole: the first from connecting on, others once begun
+	cutAfter   = 2 * policy.Second        // idle: a request may be on its way on one idle for less
+	cutFresh   = 100 * policy.Millisecond // the same where none has come yet: a client that connects has one to send
+	roomEvery  = 20 * policy.Millisecond  // between looks for connections to close while there are too many
 	flushEvery = 10 * policy.Millisecond  // between looks whether a last answer is out
 	lingerFor  = 300 * policy.Millisecond // for the client of a refused request to read why
 	flushIn    = 5 * policy.Second        // for a client to take a last answer
@@ -20,14 +25,24 @@
 func (s *Sidecar) opened(now policy.Time, c *state.Conn) {
 	c.Up, c.Since = true, now
 	c.Timer.Do = func(now policy.Time) { s.clientDue(now, c) }
+	// Whoever connects and says nothing, or only a part, must not hold a place for long.
+	s.timers.Set(&c.Timer, now+requestIn)
 	s.conns.Add(c)
 	s.Counters.ClientConns++
-	if s.conns.Count(state.Client) > s.conns.Most[state.Client] {
-		// Clients open more and more connections while all are slow. One that was long idle may be closed; where none
-		// is, there is room to answer the newcomer, not to keep it.
-		if s.spare(state.Client, now-cutAfter, now-requestIn) {
+	s.makeRoom(now)
+}
+
+// makeRoom closes connections of clients that have no request open, those first that never had one. Where none can be
+// closed yet, each answer ends its connection.
+func (s *Sidecar) makeRoom(now policy.Time) {
+	s.pressed = false
+	for s.conns.Over(state.Client) && !s.pressed {
+		if s.spare(state.Client, 0, now-cutFresh) || s.spare(state.Client, now-cutAfter, 0) {
 			s.Counters.ClientConnsCut++
+			continue
 		}
+		s.pressed = true
+		s.timers.Set(&s.room, now+roomEvery)
 	}
 }
 
@@ -77,6 +92,8 @@
 	}
 	offering, known := s.offerings[string(class(target, head))]
 	left, timed := seconds(field(head, "X-Timeout"))
+	id := field(head, "X-Request-ID")
+	mark := xxhash.Sum64(id)
 	refuse := func(status int, why string) {
 		s.bad(now, c, status, why)
 		s.buffers.Put(buf)
@@ -91,15 +108,19 @@
 	case !known:
 		refuse(404, "no such offering\n")
 		return
-	case len(field(head, "X-Request-ID")) == 0 || !timed:
+	case len(id) == 0 || !timed:
 		refuse(400, "X-Request-ID or X-Timeout is missing\n")
 		return
+	case s.tickets.Marked(mark) != nil && bytes.Equal(field(s.tickets.Marked(mark).Head, "X-Request-ID"), id):
+		// Whoever uses another's id may mean its request, or get its answer.
+		refuse(409, "a request with this X-Request-ID is in hand\n")
+		return
 	case s.post.Campaign.Offerings[offering].Repeats == policy.Numbered && field(head, "Idempotency-Key") == nil:
 		refuse(400, "Idempotency-Key is missing\n")
 		return
-	case s.buffers.Full() || s.conns.Count(state.Client) > s.conns.Most[state.Client]:
-		// Out of memory or descriptors: an answer costs nothing, the ticket might cost the process. Nothing has been
-		// pushed, so coming again is harmless.
+	case s.buffers.Full():
+		// Out of memory: an answer costs nothing, the ticket might cost the process. Nothing has been pushed, so coming
+		// again is harmless.
 		s.buffers.Put(buf)
 		s.overflow(now, c)
 		return
@@ -114,6 +135,7 @@
 	}
 	t.Client, t.Request, t.Method, t.Target, t.Head, t.Body, t.Last = c, buf, method, target, head, body, last
 	c.Ticket = t
+	s.tickets.Mark(t, mark)
 	s.Counters.Tickets++
 	h := s.module.Admit(now, offering, franchise, text(field(head, "X-Route-Key")),
 		string(field(head, "X-Retried")) == "1", max(0, left-(now-at)))
@@ -185,7 +207,7 @@
 
 // ending tells whether a client's connection ends with its next answer. When room is short that is the one moment at which
 // no request can be on its way.
-func (s *Sidecar) ending() bool { return s.leaving || s.conns.Crowded(state.Client) }
+func (s *Sidecar) ending() bool { return s.leaving || s.pressed }
 
 // free lets a client's connection go on to its next request, or closes it once the answer is out.
 func (s *Sidecar) free(now policy.Time, c *state.Conn, last bool) {
@@ -193,6 +215,7 @@
 	switch {
 	case last:
 		c.Last = true
+		c.Link.Hush()
 		s.buffers.Put(c.In)
 		c.In = nil
 		s.timers.Set(&c.Timer, now)
@@ -205,6 +228,14 @@
 func (s *Sidecar) clientDue(now policy.Time, c *state.Conn) {
 	switch {
 	case c.Dead:
+	case !c.Last && c.In == nil:
+		// Silent since it came. Nothing is lost by its end, unless something is coming in just now.
+		if c.Link.Cut(c) {
+			s.conns.End(c)
+			s.Counters.ClientsSilent++
+		} else {
+			s.timers.Set(&c.Timer, now+flushEvery)
+		}
 	case !c.Last:
 		s.bad(now, c, 408, "the request came too slowly\n")
 	case c.Flushed() || now-c.Since > flushIn:
@@ -218,6 +249,7 @@
 func (s *Sidecar) answer(t *state.Ticket) *state.Conn {
 	c := t.Client
 	t.Client = nil
+	s.tickets.Unmark(t)
 	if c == nil || c.Dead {
 		s.Counters.Unsent++
 		return nil
@@ -262,6 +294,7 @@
 		return
 	}
 	c.Ticket, t.Client = nil, nil
+	s.tickets.Unmark(t)
 	if !t.Settled {
 		s.Counters.Gone++
 		t.Settled = true
--- a/internal/proto/leave.go
+++ b/internal/proto/leave.go
@@ -57,7 +57,7 @@
 		s.round(s.clock.Now())
 		time.Sleep(time.Millisecond)
 	}
-	for _, t := range []*state.Timer{&s.wake, &s.look, &s.list.due} {
+	for _, t := range []*state.Timer{&s.wake, &s.look, &s.room, &s.list.due} {
 		s.timers.Stop(t)
 	}
 	enough, cancel := context.WithTimeout(context.Background(), time.Duration(shutIn))
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -166,6 +166,8 @@
 	mu   sync.Mutex
 	gone bool // ended: the descriptor may be another's at any moment
 	cut  bool // what still comes is not read
+	hush bool // it is read and thrown away
+	left int  // so many bytes of it at most
 }
 
 func newLink(c *nbio.Conn) *link {
@@ -183,8 +185,15 @@
 		l.gone = true
 		return false
 	}
+	if l.hush && l.left <= 0 {
+		return false // what is more stands in the kernel, and so holds up its sender, until the connection is closed
+	}
 	for {
 		switch n, err := l.nb.Read(buf.B[:cap(buf.B)]); {
+		case n > 0 && l.hush:
+			if l.left -= n; l.left <= 0 {
+				return false
+			}
 		case n > 0:
 			buf.B = buf.B[:n]
 			// A peer that sends without end must not fill the memory before the loop comes to look.
@@ -214,6 +223,14 @@
 	return syscall.Shutdown(l.fd, syscall.SHUT_RDWR) == nil
 }
 
+// Hush is called with the last answer. A client that goes on sending must cost neither memory nor the loop's time, and still
+// gets to read what it is told: closed at once, the kernel would throw that away.
+func (l *link) Hush() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hush, l.left = true, mostUnread
+}
+
 // Write sends what the kernel takes and leaves the rest to nbio. A failure is told by the poller, as the socket's end.
 func (l *link) Write(b []byte) (int, error) {
 	l.mu.Lock()
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -44,6 +44,8 @@
 	again      []*state.Conn // clients whose next request may be in already
 	scratch    []byte
 	wake       state.Timer
+	room       state.Timer // to look for connections of clients to close
+	pressed    bool        // there are too many, and none can be closed yet
 	list       follower
 
 	leaving  bool
@@ -82,6 +84,7 @@
 	}
 	s.sockets = newSockets(s.clock, s.buffers, post.Listen, post.Descriptors, s.conns.Accept)
 	s.wake.Do = func(now policy.Time) { s.module.Woken(now) }
+	s.room.Do = s.makeRoom
 	s.list.init(s)
 	s.module = policy.New(s, post.Campaign, post.Seed, s.clock.Now())
 	return s
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -11,6 +11,7 @@
 	Write(b []byte) (int, error)
 	Close() error
 	Cut(c *Conn) bool // closes it if nothing has come; the loop has heard of all else
+	Hush()            // what still comes is thrown away, up to a bound
 }
 
 // Side is who is at the other end.
@@ -60,8 +61,8 @@
 type Conns struct {
 	Open    map[*Conn]struct{}
 	Servers map[policy.ServerID]*Server
-	Most    [3]int // by side
-	Accept  int    // clients that may be open at once, those beyond Most to be turned back
+	Most    [3]int // by side; clients beyond it are let in, and room is made for them
+	Accept  int    // clients that may be open at once
 	open    [3]int
 	made    uint64
 	ending  [3]int // of these, closed but not yet told so
@@ -70,12 +71,14 @@
 // The process's own: standard streams, listener, pollers, discovery, and sockets held twice while they change hands.
 const ownDescriptors = 24
 
-// NewConns shares the descriptors out: either side gets nine twentieths of what the process itself leaves over. The rest
-// is for clients beyond that, who are answered at once and closed.
+// NewConns shares the descriptors out. A request in hand needs one on either side, but a connection of a client may also
+// stand idle, or say nothing: so clients get three fifths of what the process itself leaves over, of which room is made in
+// the last eighth, and servers get the rest.
 func NewConns(descriptors int) *Conns {
-	each := max(4, (descriptors-ownDescriptors)*9/20)
-	return &Conns{Open: map[*Conn]struct{}{}, Servers: map[policy.ServerID]*Server{}, Most: [3]int{each, each, 2},
-		Accept: max(2*4, descriptors-ownDescriptors-each)}
+	servers := max(4, (descriptors-ownDescriptors)*2/5)
+	accept := max(8, descriptors-ownDescriptors-servers)
+	return &Conns{Open: map[*Conn]struct{}{}, Servers: map[policy.ServerID]*Server{},
+		Most: [3]int{accept - accept/8, servers, 2}, Accept: accept}
 }
 
 // Count is how many connections are open, or being opened, on that side.
@@ -89,8 +92,8 @@
 	k.open[c.Side]++
 }
 
-// Crowded tells whether there is little room left on that side.
-func (k *Conns) Crowded(side Side) bool { return 4*k.Count(side) > 3*k.Most[side] }
+// Over tells whether more are open on that side than should be.
+func (k *Conns) Over(side Side) bool { return k.Count(side) > k.Most[side] }
 
 // End marks a connection that is being closed.
 func (k *Conns) End(c *Conn) {
@@ -133,13 +136,12 @@
 }
 
 // Oldest is the connection on that side that has been without work for longest, nil if there is none to spare: idle gives
-// the time since when it must have been idle, fresh the same for one that has carried nothing yet. The first work of such
-// a one may be on the way, and whoever sends that does not expect the connection to end.
+// the time since when it must have been idle, fresh the same for one that has carried nothing yet.
 func (k *Conns) Oldest(side Side, idle, fresh policy.Time) *Conn {
 	var oldest *Conn
 	for c := range k.Open {
 		if c.Side != side || !c.Up || c.Dead || c.Ticket != nil || c.In != nil || c.Unread.Load() > 0 ||
-			c.Since > idle || !c.Used && c.Since > fresh {
+			c.Used && c.Since > idle || !c.Used && c.Since > fresh {
 			continue
 		}
 		if oldest == nil || c.Since < oldest.Since || c.Since == oldest.Since && c.No < oldest.No {
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -10,6 +10,7 @@
 // Counters count what is taken in, sent and answered.
 type Counters struct {
 	ClientConns, ClientConnsCut   int
+	ClientsSilent                 int // closed as nothing came
 	Tickets, Bad, Overflow, Gone  int
 	Honoured, TurnedBack, GivenUp int
 	Unsent                        int // final answers that found no client
@@ -26,6 +27,7 @@
 	line := func(name string, n any) { fmt.Fprintf(&b, "%s %d\n", name, n) }
 	line("client_connections", c.ClientConns)
 	line("client_connections_cut", c.ClientConnsCut)
+	line("clients_silent", c.ClientsSilent)
 	line("tickets", c.Tickets)
 	line("tickets_bad", c.Bad)
 	line("tickets_overflow", c.Overflow)
--- a/internal/state/tickets.go
+++ b/internal/state/tickets.go
@@ -5,6 +5,7 @@
 // Ticket is the front side of a ticket: where it came from, what it said, and the push that is out for it.
 type Ticket struct {
 	Handle  policy.Handle
+	mark    uint64  // hash of the client's id for it, while others may not use that
 	Client  *Conn   // nil once answered, or the client has left
 	Request *Buffer // holds the five below
 	Method  []byte
@@ -33,6 +34,27 @@
 	Held    int
 	free    []*Ticket
 	byPlace []*Ticket
+	byMark  map[uint64]*Ticket
+}
+
+// Mark notes the id under which the client speaks of the ticket. Should two ids have one hash, the second goes without.
+func (k *Tickets) Mark(t *Ticket, mark uint64) {
+	if k.byMark == nil {
+		k.byMark = map[uint64]*Ticket{}
+	}
+	if k.byMark[mark] == nil {
+		k.byMark[mark], t.mark = t, mark
+	}
+}
+
+// Marked is the ticket that has the hash, nil if there is none.
+func (k *Tickets) Marked(mark uint64) *Ticket { return k.byMark[mark] }
+
+// Unmark sets the id free, as the client has its answer or is gone.
+func (k *Tickets) Unmark(t *Ticket) {
+	if k.byMark[t.mark] == t {
+		delete(k.byMark, t.mark)
+	}
 }
 
 // Take gives an empty place.
