--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -111,6 +111,9 @@
 	case len(id) == 0 || !timed:
 		refuse(400, "X-Request-ID or X-Timeout is missing\n")
 		return
+	case ambiguous(head):
+		refuse(400, "X-Request-ID or Idempotency-Key is given twice, or for this connection only\n")
+		return
 	case s.tickets.Marked(mark) != nil && bytes.Equal(field(s.tickets.Marked(mark).Head, "X-Request-ID"), id):
 		// Whoever uses another's id may mean its request, or get its answer.
 		refuse(409, "a request with this X-Request-ID is in hand\n")
@@ -259,9 +262,15 @@
 
 func (s *Sidecar) honour(now policy.Time, t *state.Ticket, _ step) {
 	if c := s.answer(t); c != nil {
-		s.Counters.Honoured++
 		last := t.Last || s.ending()
-		s.scratch = AppendHonour(s.scratch[:0], t.AnswerHead, len(t.AnswerBody), last)
+		if t.Status == 200 {
+			s.Counters.Honoured++
+		} else {
+			// The server cannot use the request. What else its sender has ready is not taken for better.
+			s.Counters.Declined++
+			last = true
+		}
+		s.scratch = AppendHonour(s.scratch[:0], t.Status, t.AnswerHead, len(t.AnswerBody), last)
 		if len(t.AnswerBody) <= state.Small {
 			s.scratch = append(s.scratch, t.AnswerBody...)
 			s.write(c, s.scratch)
--- a/internal/proto/follow.go
+++ b/internal/proto/follow.go
@@ -1,6 +1,8 @@
 package proto
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"pepperlead/internal/state"
@@ -194,6 +196,9 @@
 	if !saved {
 		f.version = version
 	}
+	if full {
+		f.missing(kept)
+	}
 	if saved || full || len(kept) > 0 {
 		f.s.module.List(now, kind, kept)
 	}
@@ -204,6 +209,9 @@
 // second is then left out.
 func (f *follower) know(m policy.Member, at spot) bool {
 	server := f.s.conns.Servers[m.ID]
+	if server == nil && m.Standing == policy.Gone {
+		return false
+	}
 	if server == nil {
 		server = &state.Server{ID: m.ID, UID: at.uid, Addr: at.addr, Started: m.Started}
 		f.s.conns.Servers[m.ID] = server
@@ -212,17 +220,33 @@
 		f.s.log.WithField("uid", at.uid).Error("list: left out, has the id of " + server.UID)
 		return false
 	}
-	server.Leaving, server.Zone = m.Standing != policy.Ready, m.Zone
-	if server.Leaving || m.Started > server.Started || at.addr != server.Addr {
+	server.Zone = m.Zone
+	if m.Standing != policy.Ready || m.Started > server.Started || at.addr != server.Addr {
 		// Nothing more goes to one that leaves; one that has started anew knows nothing of old connections.
-		for len(server.Idle) > 0 {
-			c := server.Idle[len(server.Idle)-1]
-			server.Idle = server.Idle[:len(server.Idle)-1]
-			f.s.close(c)
-		}
+		f.s.retire(server)
 	}
+	server.Leaving = m.Standing != policy.Ready
 	if server.Started = m.Started; at.addr != "" {
 		server.Addr = at.addr
 	}
 	return true
 }
+
+// missing finds the servers that a whole list no longer names.
+func (f *follower) missing(named []policy.Member) {
+	for id, server := range f.s.conns.Servers {
+		if !slices.ContainsFunc(named, func(m policy.Member) bool { return m.ID == id }) {
+			f.s.retire(server)
+		}
+	}
+}
+
+// retire keeps no connection to a server for later.
+func (s *Sidecar) retire(server *state.Server) {
+	server.Leaving = true
+	for len(server.Idle) > 0 {
+		c := server.Idle[len(server.Idle)-1]
+		server.Idle = server.Idle[:len(server.Idle)-1]
+		s.close(c)
+	}
+}
--- a/internal/proto/head.go
+++ b/internal/proto/head.go
@@ -10,7 +10,8 @@
 const (
 	mostHead = 16 << 10
 	mostBody = 64 << 10
-	mostList = 8 << 20
+	mostList = 2 << 20
+	mostSpun = 8 // times its body that a message may take with its chunk sizes
 )
 
 var headEnd = []byte("\r\n\r\n")
@@ -46,7 +47,7 @@
 		}
 	}
 	value = bytes.Trim(value, " \t")
-	return name, value, rest, clean(value)
+	return name, value, rest, bytes.IndexAny(value, "\x00\r\n") < 0
 }
 
 // clean tells whether there is no control byte in it that could pass for the end of a line.
@@ -119,12 +120,12 @@
 	return false
 }
 
-// framing reads how long the body is: size bytes, or chunked, or (-1) not told.
-func framing(head []byte) (size int, chunked, closing, ok bool) {
+// framing reads how long the body is: size bytes, or chunked, or (-1) not told. strict: no value may hold control bytes.
+func framing(head []byte, strict bool) (size int, chunked, closing, ok bool) {
 	size = -1
 	for len(head) > 0 {
 		name, value, rest, fine := cutHeader(head)
-		if !fine {
+		if !fine || strict && !clean(value) {
 			return 0, false, false, false
 		}
 		head = rest
@@ -163,6 +164,9 @@
 // chunks measures a chunked body: n bytes in all, size of them the body. n is 0 while it is not whole.
 func chunks(b []byte, most int) (n, size int, ok bool) {
 	for {
+		if n > mostSpun*most {
+			return 0, most + 1, false
+		}
 		part, at, ok := chunkSize(b[n:])
 		if !ok || size+part > most {
 			return 0, size + part, false
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -216,13 +216,29 @@
 func (l *link) Cut(conn *state.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if waiting, err := unix.IoctlGetInt(l.fd, unix.TIOCINQ); l.gone || conn.Unread.Load() > 0 || err != nil || waiting > 0 {
+	if !l.quiet(conn) {
 		return false
 	}
 	l.cut = true
 	return syscall.Shutdown(l.fd, syscall.SHUT_RDWR) == nil
 }
 
+// Quiet tells whether nothing has come that the loop has not heard of. What stands there before a request is sent is no
+// answer to it.
+func (l *link) Quiet(conn *state.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.quiet(conn)
+}
+
+func (l *link) quiet(conn *state.Conn) bool {
+	if l.gone || conn.Unread.Load() > 0 {
+		return false
+	}
+	waiting, err := unix.IoctlGetInt(l.fd, unix.TIOCINQ)
+	return err == nil && waiting == 0
+}
+
 // Hush is called with the last answer. A client that goes on sending must cost neither memory nor the loop's time, and still
 // gets to read what it is told: closed at once, the kernel would throw that away.
 func (l *link) Hush() {
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -5,6 +5,10 @@
 	"pepperlead/policy"
 )
 
+// restFor is how long a connection stands idle before it is used again where there are others: what a server may send behind
+// an answer, a copy say, shows in that time.
+const restFor = 5 * policy.Millisecond
+
 // push sends a ticket to a server, on a connection that stands idle or on a new one.
 func (s *Sidecar) push(now policy.Time, t *state.Ticket, n step) {
 	t.SentAt = now
@@ -15,10 +19,13 @@
 	}
 	s.Counters.Pushes++
 	s.timers.Set(&t.Wait, now+n.span)
-	if idle := server.Idle; len(idle) > 0 {
-		c := idle[len(idle)-1]
-		server.Idle = idle[:len(idle)-1]
+	for c := s.conns.Idle(server, now-restFor); c != nil; c = s.conns.Idle(server, now-restFor) {
 		s.timers.Stop(&c.Timer)
+		if !c.Link.Quiet(c) {
+			// Something unasked stands there, or its end.
+			s.close(c)
+			continue
+		}
 		s.Counters.Reused++
 		t.Push, c.Ticket = c, t
 		s.send(now, t)
@@ -79,14 +86,14 @@
 		s.endPush(at, t, policy.ConnBroke, false)
 	case n > 0:
 		stays = stays && n == len(c.In.B) && c.Flushed()
-		s.take(t, c, head, body)
+		s.take(t, c, status, head, body)
 		s.endPush(at, t, outcomeOf(status, head), stays)
 	}
 }
 
 // take moves the answer's buffer from the connection to the ticket.
-func (s *Sidecar) take(t *state.Ticket, c *state.Conn, head, body []byte) {
-	t.Answer, t.AnswerHead, t.AnswerBody = c.In, head, body
+func (s *Sidecar) take(t *state.Ticket, c *state.Conn, status int, head, body []byte) {
+	t.Answer, t.Status, t.AnswerHead, t.AnswerBody = c.In, status, head, body
 	c.In = nil
 }
 
@@ -102,7 +109,7 @@
 	}
 	if c.In != nil {
 		if n, status, head, body, _, ok := CutAnswer(c.In.B, true, mostBody); ok && n > 0 {
-			s.take(t, c, head, body)
+			s.take(t, c, status, head, body)
 			s.endPush(at, t, outcomeOf(status, head), false)
 			return
 		}
--- a/internal/proto/request.go
+++ b/internal/proto/request.go
@@ -43,7 +43,7 @@
 	default:
 		return fail(400)
 	}
-	size, chunked, closing, ok := framing(head)
+	size, chunked, closing, ok := framing(head, true)
 	last = last || closing
 	switch {
 	case !ok || len(method) == 0 || field(head, "Host") == nil:
@@ -98,8 +98,13 @@
 	return path
 }
 
-// seconds reads a span of time.
+// seconds reads a span of time, written in digits with or without a point.
 func seconds(b []byte) (policy.Time, bool) {
+	for _, c := range b {
+		if c != '.' && (c < '0' || c > '9') {
+			return 0, false
+		}
+	}
 	s, err := strconv.ParseFloat(text(b), 64)
 	if err != nil || !(s >= 0 && s < 1e6) {
 		return 0, false
@@ -107,6 +112,26 @@
 	return policy.Time(s * float64(policy.Second)), true
 }
 
+// ambiguous tells whether a server could read another id or key than was read here, or none.
+func ambiguous(head []byte) bool {
+	dropped := field(head, "Connection")
+	for _, name := range [...]string{"X-Request-ID", "Idempotency-Key"} {
+		if listed(dropped, name) {
+			return true
+		}
+		seen := false
+		for at := head; len(at) > 0; {
+			var n []byte
+			n, _, at, _ = cutHeader(at)
+			if named(n, name) && seen {
+				return true
+			}
+			seen = seen || named(n, name)
+		}
+	}
+	return false
+}
+
 // hop tells whether a header is for this connection alone, or written anew.
 func hop(name []byte) bool {
 	switch len(name) {
@@ -138,7 +163,7 @@
 		if !ok {
 			break
 		}
-		if !hop(name) && !listed(named, text(name)) {
+		if !hop(name) && clean(value) && !listed(named, text(name)) {
 			to = append(append(append(append(to, name...), ": "...), value...), "\r\n"...)
 		}
 		head = rest
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -314,4 +314,12 @@
 	}
 }
 
+// Forget lets a server go that is listed no more. Its connections, if any are left, close when they are free.
+func (s *Sidecar) Forget(id policy.ServerID) {
+	if server := s.conns.Servers[id]; server != nil {
+		s.retire(server)
+		delete(s.conns.Servers, id)
+	}
+}
+
 func (s *Sidecar) Log(line string) { s.log.Info(line) }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -458,6 +458,9 @@
 // Honour has nothing to write: the bench passes a server's answer on by itself.
 func (i *instance) Honour(policy.Handle, policy.PushNo) {}
 
+// Forget has nothing to do: servers are named by their ids alone.
+func (i *instance) Forget(policy.ServerID) {}
+
 func (i *instance) TurnBack(h policy.Handle, retryIn policy.Time) {
 	i.about("busy", h)
 	if retryIn > 0 {
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -10,8 +10,9 @@
 type Link interface {
 	Write(b []byte) (int, error)
 	Close() error
-	Cut(c *Conn) bool // closes it if nothing has come; the loop has heard of all else
-	Hush()            // what still comes is thrown away, up to a bound
+	Cut(c *Conn) bool   // closes it if nothing has come; the loop has heard of all else
+	Quiet(c *Conn) bool // nothing has come, and the other end has not closed
+	Hush()              // what still comes is thrown away, up to a bound
 }
 
 // Side is who is at the other end.
@@ -123,6 +124,24 @@
 	c.Server.Idle = append(c.Server.Idle, c)
 }
 
+// Idle takes a connection to the server from those that stand idle, nil if there is none: the last used, so that the others
+// grow old and are closed, but before one that has stood idle since rested, as more may be on its way there behind an answer.
+func (k *Conns) Idle(server *Server, rested policy.Time) *Conn {
+	at := len(server.Idle) - 1
+	for i := at; i >= 0; i-- {
+		if server.Idle[i].Since <= rested {
+			at = i
+			break
+		}
+	}
+	if at < 0 {
+		return nil
+	}
+	c := server.Idle[at]
+	server.Idle = append(server.Idle[:at], server.Idle[at+1:]...)
+	return c
+}
+
 // Unpark takes the connection from those that stand idle, if it is among them.
 func (k *Conns) Unpark(c *Conn) bool {
 	idle := c.Server.Idle
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -13,9 +13,10 @@
 	ClientsSilent                 int // closed as nothing came
 	Tickets, Bad, Overflow, Gone  int
 	Honoured, TurnedBack, GivenUp int
+	Declined                      int // requests that a server could not use
 	Unsent                        int // final answers that found no client
 	Pushes, Dials, Reused         int
-	Outcomes                      [policy.NotSent + 1]int
+	Outcomes                      [policy.Declined + 1]int
 	Lists, ListEntries, ListFails int
 	Renewals                      int // new configurations gone over to
 	BytesIn, BytesOut             int64
@@ -35,12 +36,13 @@
 	line("honoured", c.Honoured)
 	line("turned_back", c.TurnedBack)
 	line("given_up", c.GivenUp)
+	line("declined", c.Declined)
 	line("answers_unsent", c.Unsent)
 	line("pushes", c.Pushes)
 	line("dials", c.Dials)
 	line("pushes_on_kept_connections", c.Reused)
 	for i, name := range []string{"honoured", "errors", "turned_away", "timed_out", "not_connected", "broken",
-		"called_off", "not_sent"} {
+		"called_off", "not_sent", "declined"} {
 		line("pushes_"+name, c.Outcomes[i])
 	}
 	line("lists", c.Lists)
--- a/internal/state/tickets.go
+++ b/internal/state/tickets.go
@@ -25,6 +25,7 @@
 	Pending int  // steps decided on and not yet carried out
 
 	Answer     *Buffer // holds the two below
+	Status     int     // of the server's answer
 	AnswerHead []byte
 	AnswerBody []byte
 }
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -189,6 +189,7 @@
 func (w *world) Cancel(Handle, PushNo) {}
 func (w *world) Honour(Handle, PushNo) {}
 func (w *world) Log(string)            {}
+func (w *world) Forget(ServerID)       { w.kinds["forgotten"]++ }
 func (w *world) Wake(in Time)          { w.after(in, func() { w.b.Woken(w.now) }) }
 
 func (w *world) FollowList(bool) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,19 +19,17 @@
 	layoutSeed = 0x70657070  // fixed: every sidecar lays out the same table
 	holdTime   = 30 * Second // a server listed gone keeps its slots this long
 	hotSpread  = 4           // servers for a key whose part of all traffic is one server's
-	heatPrior  = 64          // tickets that a new sidecar takes to have seen under other keys
 
-	inRow                 = 3                       // failures in a row that set a server aside
 	skipFirst, skipMost   = 2 * Second, 16 * Second // time aside, doubled on each relapse
-	firstLimit            = 2                       // pushes out to a server of which nothing is known yet
+	inRow, firstLimit     = 3, 2                    // failures that set aside; pushes out to a new server
 	spillMargin           = 2                       // free places, or fewer pushes, that a spill must find
 	roomy, crowded        = 0.15, 0.45              // load under which more may go out, and over which less must
 	paceLate, paceGrowth  = 0.75, 0.5               // mean lateness at which it is cut; growth at none
 	paceSpare, paceFree   = 4, 16                   // times what is out, or pushes at each server, left to it
+	heatPrior             = 64                      // tickets taken to have come before, under other keys
 	shortOfHit            = 0.25                    // a cold server remembers no keys: four times the work
-	repeatValue           = 0.5                     // a client's repeat has used up part of its quoted time
+	repeatValue, waitPart = 0.5, 0.5                // worth of a client's repeat; what may wait of home's rate
 	firstWait             = 2.0                     // part of the quoted time that a first push may take
-	waitPart              = 0.5                     // part of what home honours in the slack that may wait
 	pushCredit, pushesCap = 0.1, 20                 // further pushes earned by each honoured, saved at most
 	splitWorth            = 5                       // load, for a crossing price of one, at which crossings pay
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
@@ -92,16 +90,19 @@
 		if m.Standing == Gone {
 			return
 		}
-		p = int32(len(b.servers))
+		if p = int32(slices.IndexFunc(b.servers, func(s server) bool { return !s.inTable })); p < 0 {
+			p = int32(len(b.servers))
+			b.servers = append(b.servers, server{})
+		}
 		b.places[m.ID] = p
-		b.servers = append(b.servers, server{Member: m, seen: b.epoch, limit: firstLimit,
-			budget: b.chance.part(), budgetAt: now, leftAt: now})
+		b.servers[p] = server{Member: m, seen: b.epoch, limit: firstLimit, budget: b.chance.part(),
+			budgetAt: now, leftAt: now}
 		b.join(p)
 		return
 	}
 	s := &b.servers[p]
 	s.seen = b.epoch
-	reweighed := s.inTable && s.Weight != m.Weight
+	reweighed := s.Weight != m.Weight
 	if m.Started > s.Started {
 		// A restarted server is cold and knows no keys; what was learned of it is void. Its budget starts
 		// anywhere under a push: from zero, hundreds of sidecars would send none for minutes, then all at once.
@@ -109,9 +110,7 @@
 		s.budget, s.budgetAt = b.chance.part(), now
 	}
 	s.Member = m
-	if !s.inTable && m.Standing != Gone {
-		b.join(p)
-	} else if reweighed {
+	if reweighed {
 		b.deal(nil, b.byID)
 	}
 }
@@ -380,7 +379,7 @@
 }
 
 func (b *Balancer) pushed(t *ticket, n news) {
-	if n.outcome == Honoured {
+	if n.outcome == Honoured || n.outcome == Declined {
 		t.settle()
 		b.front.Honour(t.handle(), n.push)
 		return
@@ -565,16 +564,15 @@
 	s, quoted := &b.servers[p], b.campaign.Offerings[t.offering].Quoted
 	part := float64(spent) / float64(quoted)
 	if o != Honoured {
-		if o != NotConnected || spent >= b.campaign.Tick {
-			// Connections to a lost data centre are refused at once, a dozen before its servers are set aside:
-			// that says nothing of how late the others are.
+		b.bad(now, t, s, o)
+		if o == TurnedAway || o == TimedOut {
+			// Errors, spoilt answers and lost connections are no sign of load, and would cut all that may go out.
 			b.regulate(now, s, 1, min(spent, quoted), quoted)
+			b.cut(now, s, 0.7)
 		}
 		if o == TimedOut {
 			s.ratio += 0.2 * (max(1, part) - s.ratio)
 		}
-		b.bad(now, t, s, o)
-		b.cut(now, s, 0.7)
 		return
 	}
 	b.regulate(now, s, min(1, part), min(spent, quoted), quoted)
@@ -639,7 +637,7 @@
 	}
 	s.row, s.rowKey = s.row+1, t.key
 	// When most servers look bad at once the cause is shared, and moving their work makes it worse.
-	shared := o != NotConnected && 2*(b.aside+1) > len(b.servers)
+	shared := o != NotConnected && 2*(b.aside+1) > len(b.byID)
 	// Where a sidecar hears little of each server, three failures in a row, or two seconds, mean nothing.
 	need, skip, each := inRow, skipFirst, b.done.now(now)/float64(len(b.byID))
 	if b.late < 0.5 && b.recentAt > heatPrior {
@@ -671,13 +669,16 @@
 			warm += s.Weight
 		}
 		s.ratio += 0.01 * (b.calm - s.ratio) // what has not been heard of for long fades
-		if now < s.asideTill {
+		if now < s.asideTill && s.inTable {
 			b.aside++
 		}
 		if s.Standing != Gone {
 			s.leftAt = now
-		} else if s.inTable && now-s.leftAt >= holdTime && !empty {
+		} else if s.inTable && now-s.leftAt >= holdTime && !empty && s.out == 0 && !b.bound(int32(i)) {
+			// Its place is free for another: servers that come under ever new ids must not fill the memory.
 			b.leave(int32(i))
+			delete(b.places, s.ID)
+			b.front.Forget(s.ID)
 		}
 	}
 	b.borne = b.done.now(now) / max(warm, 1)
@@ -688,6 +689,11 @@
 	}
 }
 
+// bound tells whether a ticket is bound by what the server was.
+func (b *Balancer) bound(p int32) bool {
+	return slices.ContainsFunc(b.slab, func(t ticket) bool { return t.inUse && t.ranOn == p })
+}
+
 // lean sets the part of the keys that look near first: by key, so that each stays with one server.
 func (b *Balancer) lean() {
 	near, far, was := b.sides[1]-b.calm, b.sides[0]-b.calm, b.nearPart
@@ -719,9 +725,10 @@
 	if b.askAt > 0 && now >= b.askAt {
 		b.askAt = 0
 		b.front.FollowList(true)
+	} else if b.askAt > 0 {
+		b.wake(now, b.askAt)
 	}
 	b.tend(now)
-	next := Time(math.MaxInt64)
 	for place := range b.slab {
 		t := &b.slab[place]
 		if !t.inUse || t.answered {
@@ -732,7 +739,7 @@
 			due = t.waitTill
 		}
 		if now < due {
-			next = min(next, due)
+			b.wake(now, due)
 			continue
 		}
 		// A time-out that never came must not leave the client without an answer.
@@ -743,13 +750,7 @@
 	}
 	b.drain(now, -1)
 	if len(b.queue) > 0 {
-		next = min(next, now+pollTicks*b.campaign.Tick)
-	}
-	if b.askAt > 0 {
-		next = min(next, b.askAt)
-	}
-	if next < math.MaxInt64 {
-		b.wake(now, next)
+		b.wake(now, now+pollTicks*b.campaign.Tick)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -4,7 +4,7 @@
 
 type server struct {
 	Member
-	inTable   bool
+	inTable   bool    // else its place is free for another
 	ranks     []int32 // its slots, by their place in the seeded order
 	target    int     // slots it should hold
 	leftAt    Time    // when it was last seen to be listed
--- a/policy/types.go
+++ b/policy/types.go
@@ -35,6 +35,7 @@
 	ConnBroke            // may have run
 	CalledOff            // cancelled; may have run
 	NotSent              // never ran
+	Declined             // the server cannot use the request, and says why; no sign of its state
 )
 
 // Repeats says what may be done with a ticket that may have run.
@@ -126,10 +127,11 @@
 type Front interface {
 	Push(h Handle, s ServerID, wait Time)
 	Cancel(h Handle, n PushNo)
-	Honour(h Handle, n PushNo)
+	Honour(h Handle, n PushNo) // hands on the server's answer, also one that declines
 	TurnBack(h Handle, retryIn Time)
 	GiveUp(h Handle)
 	Wake(in Time)
 	FollowList(on bool)
+	Forget(s ServerID) // gone for good; should the id come again, it is a new server
 	Log(line string)
 }
