--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -235,8 +235,10 @@
 	if l.gone || conn.Unread.Load() > 0 {
 		return false
 	}
-	waiting, err := unix.IoctlGetInt(l.fd, unix.TIOCINQ)
-	return err == nil && waiting == 0
+	// Neither bytes nor the other end's close, which the poller may not have come to yet.
+	var one [1]byte
+	_, _, err := unix.Recvfrom(l.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == unix.EAGAIN
 }
 
 // Hush is called with the last answer. A client that goes on sending must cost neither memory nor the loop's time, and still
