--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,9 +43,8 @@
 // New starts an instance.
 func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
-		usual: make([]float64, len(c.Offerings)), use: make([]meter, len(c.Franchises)),
-		pushes: pushesCap / 2, calm: 0.25, pace: math.MaxInt32,
-		nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
+		usual: make([]float64, len(c.Offerings)), use: make([]meter, len(c.Franchises)), pushes: pushesCap / 2,
+		calm: 0.25, pace: math.MaxInt32, nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
 	}
@@ -295,7 +294,8 @@
 func (b *Balancer) enqueue(now Time, t *ticket) {
 	rate, waiting, worst := b.done.now(now), 0, -1
 	if t.home >= 0 {
-		rate = b.servers[t.home].served.now(now)
+		home := &b.servers[t.home]
+		rate = max(home.served.now(now), home.limit*float64(Second)/b.usual[t.offering])
 	}
 	for i, place := range b.queue {
 		if b.slab[place].home == t.home {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -455,3 +455,14 @@
 		t.Errorf("the table has slots of %d servers", len(slots))
 	}
 }
+
+// A new sidecar has been honoured nothing yet; it turned back what could have waited for its first answers.
+func TestTicketsWaitForTheFirstAnswers(t *testing.T) {
+	b, q := started(fleet(1, "a"))
+	for i := range firstLimit + 3 {
+		b.Begin(2*Second, b.Admit(2*Second, 0, NoFranchise, fmt.Sprint(i), false, 2*Second))
+	}
+	if len(q.to) != firstLimit || len(b.queue) != 3 || q.back != 0 {
+		t.Errorf("%d pushed, %d waiting, %d turned back", len(q.to), len(b.queue), q.back)
+	}
+}
