Let a time-out be no sign of load where a later push to the server was honoured

On both the logs show time-outs of single pushes, limits and pace falling to a push or two ('1 out, 0 waiting') while other pushes to the same servers were honoured in 20 to 60 ms. Ruled out: CPU (0.14 s in the busiest second), descriptors (139 of 1,024), memory (6 of 128 MB). At fault: judge, where a connection that had fallen silent counted as two quoted times of load.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -565,16 +565,19 @@
 	part := float64(spent) / float64(quoted)
 	if o != Honoured {
 		b.bad(now, t, s, o)
-		if o == TurnedAway || o == TimedOut {
-			// Errors, spoilt answers and lost connections are no sign of load, and would cut all that may go out.
+		// Errors, spoilt answers and lost connections are no sign of load, and would cut all that may go out. Nor
+		// is a time-out where a later push was honoured: its connection has fallen silent, not the server.
+		choked := o == TimedOut && now-spent >= s.soundAt
+		if choked || o == TurnedAway {
 			b.regulate(now, s, 1, min(spent, quoted), quoted)
 			b.cut(now, s, 0.7)
 		}
-		if o == TimedOut {
+		if choked {
 			s.ratio += 0.2 * (max(1, part) - s.ratio)
 		}
 		return
 	}
+	s.soundAt = max(s.soundAt, now-spent)
 	b.regulate(now, s, min(1, part), min(spent, quoted), quoted)
 	s.row, s.skip = 0, 0
 	s.served.count(now)
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,6 +13,7 @@
 	limit     float64 // pushes that may be out to it
 	ratio     float64 // mean of answer time over quoted time
 	cutAt     Time
+	soundAt   Time   // when the latest honoured push was sent
 	row       int    // failures in a row
 	rowKey    uint64 // key of the last of them
 	asideTill Time
