Leave out lone time-outs only under low load; bound clients that read nothing

Found on reading: a client that sends requests and reads no answers had each answer queued without bound; its next request now waits for the last answer to be taken, and it is closed after 2 s. Senders of much are cut while memory is full.

--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -19,7 +19,7 @@
 	roomEvery  = 20 * policy.Millisecond  // between looks for connections to close while there are too many
 	flushEvery = 10 * policy.Millisecond  // between looks whether a last answer is out
 	lingerFor  = 300 * policy.Millisecond // for the client of a refused request to read why
-	flushIn    = 5 * policy.Second        // for a client to take a last answer
+	flushIn    = 2 * policy.Second        // for a client to take an answer before it is closed, or the next is begun
 )
 
 func (s *Sidecar) opened(now policy.Time, c *state.Conn) {
@@ -48,7 +48,7 @@
 
 // fromClient takes the next request that is in whole. at: when its last byte came.
 func (s *Sidecar) fromClient(now, at policy.Time, c *state.Conn) {
-	for c.In != nil && c.Ticket == nil && !c.Last && !c.Dead {
+	for c.In != nil && c.Ticket == nil && !c.Last && !c.Dead && s.reads(now, c) {
 		n, method, target, head, body, last, fault := CutRequest(c.In.B)
 		switch {
 		case fault != 0:
@@ -78,11 +78,21 @@
 		}
 		s.request(now, at, c, request, method, target, head, body, last)
 	}
-	if c.Ticket != nil && c.In != nil && len(c.In.B) > state.Large {
+	if c.In != nil && len(c.In.B) > state.Large && (c.Ticket != nil || !c.Flushed()) {
 		s.close(c) // it goes on sending without waiting for answers
 	}
 }
 
+// reads tells whether the client has taken its last answer. Until it has, its next request waits: answers that nobody reads
+// must not pile up. clientDue looks again.
+func (s *Sidecar) reads(now policy.Time, c *state.Conn) bool {
+	c.Waits = !c.Flushed()
+	if c.Waits {
+		s.timers.Set(&c.Timer, now+flushEvery)
+	}
+	return !c.Waits
+}
+
 // request makes a ticket of a whole request, or answers it.
 func (s *Sidecar) request(now, at policy.Time, c *state.Conn, buf *state.Buffer, method, target, head, body []byte,
 	last bool) {
@@ -231,6 +241,12 @@
 func (s *Sidecar) clientDue(now policy.Time, c *state.Conn) {
 	switch {
 	case c.Dead:
+	case !c.Last && !c.Flushed() && now-c.Since <= flushIn:
+		s.timers.Set(&c.Timer, now+flushEvery)
+	case !c.Last && !c.Flushed():
+		s.close(c) // it takes no answers
+	case !c.Last && c.Waits && c.In != nil:
+		s.fromClient(now, now, c)
 	case !c.Last && c.In == nil:
 		// Silent since it came. Nothing is lost by its end, unless something is coming in just now.
 		if c.Link.Cut(c) {
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -70,8 +70,8 @@
 	return g.Listener.Accept()
 }
 
-// mostUnread is what one connection may have sent before the loop has looked at it: several times any message.
-const mostUnread = 512 << 10
+// mostUnread is what one connection may have sent before the loop has looked at it: more than any message but a list.
+const mostUnread = 256 << 10
 
 func newSockets(clock Clock, buffers *state.Buffers, listen string, descriptors, clients int) *sockets {
 	s := &sockets{clock: clock, buffers: buffers, connect: connect, signal: make(chan struct{}, 1), room: make(chan struct{}, 1), most: int64(clients)}
@@ -148,6 +148,11 @@
 		return
 	}
 	for size := state.Small; ; size = state.Large {
+		if conn.Unread.Load() > state.Small && conn.Side != state.ToList && s.buffers.Flooded() {
+			// Many at once may fill the memory before the loop comes to turn them back.
+			conn.Link.(*link).end()
+			return
+		}
 		buf := s.buffers.Get(size)
 		if !conn.Link.(*link).read(conn, buf) {
 			s.buffers.Put(buf)
@@ -197,7 +202,7 @@
 		case n > 0:
 			buf.B = buf.B[:n]
 			// A peer that sends without end must not fill the memory before the loop comes to look.
-			if conn.Unread.Add(int64(n)) > mostUnread {
+			if conn.Unread.Add(int64(n)) > mostUnread && conn.Side != state.ToList {
 				l.cut = true
 				syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
 				return false
@@ -270,6 +275,16 @@
 	return l.nb.Write(b)
 }
 
+// end closes the socket to a sender of too much.
+func (l *link) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.gone && !l.cut {
+		l.cut = true
+		syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
+	}
+}
+
 // Close ends the socket both ways; the poller hears of it and closes.
 func (l *link) Close() error {
 	l.mu.Lock()
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -845,6 +845,28 @@
 	c.Close()
 }
 
+// A client that sends requests and reads no answers holds one answer, and not for long.
+func TestClientsThatReadNothingAreBounded(t *testing.T) {
+	r, _ := run(t, nil, newStandIn(t).Addr().String())
+	c := r.client()
+	began := time.Now()
+	body := strings.Repeat("x", mostBody)
+	var err error
+	for i := 0; err == nil && time.Since(began) < 4*time.Second; i++ {
+		_, err = fmt.Fprintf(c, "POST /step/echo HTTP/1.1\r\nHost: o\r\nX-Request-ID: r%d\r\nX-Timeout: 1\r\n"+
+			"Content-Length: %d\r\n\r\n%s", i, len(body), body)
+	}
+	if err == nil {
+		t.Error("not closed")
+	}
+	c.Close()
+	r.end()
+	// What the kernel took at either end is not the sidecar's.
+	if r.Counters.BytesOut > 24<<20 || r.Counters.Honoured > 200 {
+		t.Errorf("%d bytes were sent to one that reads nothing: %s", r.Counters.BytesOut, r.Report())
+	}
+}
+
 // Connections that both ends close at once free their descriptors for new ones, which nothing of the old may touch.
 func TestQuickClosesLoseNothing(t *testing.T) {
 	r, _ := run(t, nil, newStandIn(t).Addr().String())
@@ -876,28 +898,54 @@
 	}
 }
 
-// A connection with bytes on it is not cut: their sender would have lost a request.
-func TestOnlyQuietConnectionsAreCut(t *testing.T) {
+// pair is a connection as the sidecar holds it, and its other end.
+func pair(t *testing.T) (far net.Conn, nb *nbio.Conn, conn *state.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp", here)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	far, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
+	if far, err = net.Dial("tcp", l.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	defer far.Close()
+	t.Cleanup(func() { far.Close() })
 	near, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	nb, err := nbio.NBConn(near)
-	if err != nil {
+	if nb, err = nbio.NBConn(near); err != nil {
 		t.Fatal(err)
 	}
-	buffers, conn := &state.Buffers{}, &state.Conn{Link: newLink(nb)}
+	conn = &state.Conn{Link: newLink(nb)}
 	nb.SetSession(conn)
+	return far, nb, conn
+}
+
+// Where memory is full and more, whoever has sent much that nobody has looked at yet sends no more.
+func TestFloodsEndWhereMemoryIsFull(t *testing.T) {
+	far, nb, conn := pair(t)
+	s := &sockets{buffers: &state.Buffers{Most: state.Small}, signal: make(chan struct{}, 1)}
+	held := s.buffers.Get(state.Large)
+	fmt.Fprint(far, "GET")
+	time.Sleep(20 * time.Millisecond)
+	s.read(nb) // a little is always taken, to be turned back
+	if conn.Link.(*link).cut || conn.Unread.Load() != 3 {
+		t.Errorf("cut at its first bytes, or they were not read: %d", conn.Unread.Load())
+	}
+	fmt.Fprint(far, strings.Repeat("x", 2*state.Small))
+	time.Sleep(20 * time.Millisecond)
+	s.read(nb)
+	if !conn.Link.(*link).cut {
+		t.Error("goes on sending")
+	}
+	s.buffers.Put(held)
+}
+
+// A connection with bytes on it is not cut: their sender would have lost a request.
+func TestOnlyQuietConnectionsAreCut(t *testing.T) {
+	far, _, conn := pair(t)
+	buffers := &state.Buffers{}
 	if !conn.Link.Quiet(conn) {
 		t.Error("not quiet before anything came")
 	}
--- a/internal/state/buffers.go
+++ b/internal/state/buffers.go
@@ -70,6 +70,9 @@
 // Full says that no new ticket should be taken into memory.
 func (p *Buffers) Full() bool { return p.Lent() > p.Most }
 
+// Flooded says that no more should be read from whoever has sent something that is still to be looked at.
+func (p *Buffers) Flooded() bool { return p.Lent() > p.Most*3/2 }
+
 // Join adds the bytes of a newly read buffer to those of an earlier one and gives back the one not needed. Without an
 // earlier one nothing is copied.
 func (p *Buffers) Join(earlier, b *Buffer) *Buffer {
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -35,6 +35,7 @@
 	Up      bool         // connected
 	Dead    bool         // closed, or about to be: nothing more is read or sent
 	Last    bool         // closes once all is written; what still comes is dropped
+	Waits   bool         // with its next request for the last answer to be taken
 	Asked   bool         // the client has been asked for the body that it waits with
 	Used    bool         // has carried something
 	Since   policy.Time  // when it came, or last had work
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -566,20 +566,16 @@
 	if o != Honoured {
 		b.bad(now, t, s, o)
 		// Errors, spoilt answers and lost connections are no sign of load, and would cut all that may go out. Nor
-		// is a time-out where a later push was honoured: its connection has fallen silent, not the server.
-		choked := o == TimedOut && now-spent >= s.soundAt
-		if choked || o == TurnedAway {
+		// is a time-out where a later push was honoured and load is low: one connection has fallen silent.
+		if o == TurnedAway || o == TimedOut && (now-spent >= s.soundAt || b.load(s) > roomy) {
 			b.regulate(now, s, 1, min(spent, quoted), quoted)
 			b.cut(now, s, 0.7)
-		}
-		if choked {
 			s.ratio += 0.2 * (max(1, part) - s.ratio)
 		}
 		return
 	}
-	s.soundAt = max(s.soundAt, now-spent)
 	b.regulate(now, s, min(1, part), min(spent, quoted), quoted)
-	s.row, s.skip = 0, 0
+	s.row, s.skip, s.soundAt = 0, 0, max(s.soundAt, now-spent)
 	s.served.count(now)
 	if !b.cold(now, s) {
 		b.done.count(now)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -466,3 +466,26 @@
 		t.Errorf("%d pushed, %d waiting, %d turned back", len(q.to), len(b.queue), q.back)
 	}
 }
+
+// Connections fall silent one by one; with each counted as load, limits and pace fell to a push or two before calm servers.
+func TestLoneTimeOutsAreNoSignOfLoad(t *testing.T) {
+	for later, want := range map[bool]bool{true: false, false: true} {
+		b, q := started(fleet(1, "a"))
+		for i := range 20 {
+			push(b, q, Second+Time(i)*100*Millisecond, fmt.Sprint("calm", i), Honoured, 10*Millisecond)
+		}
+		for i := range 8 {
+			now := 4*Second + Time(i)*2*Second
+			h := b.Admit(now, 0, NoFranchise, fmt.Sprint(i), false, 4*Second)
+			b.Begin(now, h)
+			id := q.to[len(q.to)-1]
+			if later {
+				push(b, q, now+100*Millisecond, "other", Honoured, 10*Millisecond)
+			}
+			b.PushEnded(now+Second, h, 0, id, TimedOut, Second, true)
+		}
+		if s := &b.servers[0]; b.late > 0.5 != want || s.limit < firstLimit != want {
+			t.Errorf("later pushes honoured %v: lateness %.2f, limit %.1f", later, b.late, s.limit)
+		}
+	}
+}
