--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -59,9 +59,10 @@
 			s.overflow(now, c)
 			return
 		case n == 0:
-			if !c.Timer.On() {
+			if !c.Timer.On() || c.Rests {
 				s.timers.Set(&c.Timer, now+requestIn)
 			}
+			s.conns.Work(c)
 			if !c.Asked && Continues(c.In.B) {
 				c.Asked = true
 				s.write(c, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -69,6 +70,7 @@
 			return
 		}
 		s.timers.Stop(&c.Timer)
+		s.conns.Work(c)
 		c.Asked = false
 		request := c.In
 		c.In = nil
@@ -220,7 +222,9 @@
 
 // ending tells whether a client's connection ends with its next answer. When room is short that is the one moment at which
 // no request can be on its way.
-func (s *Sidecar) ending() bool { return s.leaving || s.pressed }
+func (s *Sidecar) ending() bool {
+	return s.leaving || s.pressed || s.conns.Resting > s.conns.Idle
+}
 
 // free lets a client's connection go on to its next request, or closes it once the answer is out.
 func (s *Sidecar) free(now policy.Time, c *state.Conn, last bool) {
@@ -234,6 +238,9 @@
 		s.timers.Set(&c.Timer, now)
 	case c.In != nil:
 		s.again = append(s.again, c)
+	default:
+		s.conns.Rest(c)
+		s.timers.Set(&c.Timer, now+cutAfter)
 	}
 }
 
@@ -247,6 +254,14 @@
 		s.close(c) // it takes no answers
 	case !c.Last && c.Waits && c.In != nil:
 		s.fromClient(now, now, c)
+	case !c.Last && c.Rests:
+		// Clients that ask once and stay hold places that others of theirs wait for.
+		if 2*s.conns.Resting > s.conns.Idle && c.Link.Cut(c) {
+			s.conns.End(c)
+			s.Counters.ClientConnsCut++
+		} else {
+			s.timers.Set(&c.Timer, now+cutAfter/8)
+		}
 	case !c.Last && c.In == nil:
 		// Silent since it came. Nothing is lost by its end, unless something is coming in just now.
 		if c.Link.Cut(c) {
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -19,7 +19,7 @@
 	}
 	s.Counters.Pushes++
 	s.timers.Set(&t.Wait, now+n.span)
-	for c := s.conns.Idle(server, now-restFor); c != nil; c = s.conns.Idle(server, now-restFor) {
+	for c := s.conns.Take(server, now-restFor); c != nil; c = s.conns.Take(server, now-restFor) {
 		s.timers.Stop(&c.Timer)
 		if !c.Link.Quiet(c) {
 			// Something unasked stands there, or its end.
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -37,6 +37,7 @@
 	Last    bool         // closes once all is written; what still comes is dropped
 	Waits   bool         // with its next request for the last answer to be taken
 	Asked   bool         // the client has been asked for the body that it waits with
+	Rests   bool         // has had its answer, and nothing has come since
 	Used    bool         // has carried something
 	Since   policy.Time  // when it came, or last had work
 	No      uint64       // counts connections
@@ -65,6 +66,8 @@
 	Servers map[policy.ServerID]*Server
 	Most    [3]int // by side; clients beyond it are let in, and room is made for them
 	Accept  int    // clients that may be open at once
+	Resting int    // clients that rest
+	Idle    int    // of these, more than are welcome
 	open    [3]int
 	made    uint64
 	ending  [3]int // of these, closed but not yet told so
@@ -80,7 +83,23 @@
 	servers := max(4, (descriptors-ownDescriptors)*2/5)
 	accept := max(8, descriptors-ownDescriptors-servers)
 	return &Conns{Open: map[*Conn]struct{}{}, Servers: map[policy.ServerID]*Server{},
-		Most: [3]int{accept - accept/8, servers, 2}, Accept: accept}
+		Most: [3]int{accept - accept/8, servers, 2}, Accept: accept, Idle: accept / 4}
+}
+
+// Rest notes that a client's connection has nothing to do.
+func (k *Conns) Rest(c *Conn) {
+	if !c.Rests && !c.Dead {
+		c.Rests = true
+		k.Resting++
+	}
+}
+
+// Work notes that it has, or is gone.
+func (k *Conns) Work(c *Conn) {
+	if c.Rests {
+		c.Rests = false
+		k.Resting--
+	}
 }
 
 // Count is how many connections are open, or being opened, on that side.
@@ -99,6 +118,7 @@
 
 // End marks a connection that is being closed.
 func (k *Conns) End(c *Conn) {
+	k.Work(c)
 	c.Dead = true
 	k.ending[c.Side]++
 }
@@ -108,6 +128,7 @@
 	if _, open := k.Open[c]; !open {
 		return false
 	}
+	k.Work(c)
 	delete(k.Open, c)
 	k.open[c.Side]--
 	if c.Dead {
@@ -125,9 +146,9 @@
 	c.Server.Idle = append(c.Server.Idle, c)
 }
 
-// Idle takes a connection to the server from those that stand idle, nil if there is none: the last used, so that the others
+// Take takes a connection to the server from those that stand idle, nil if there is none: the last used, so that the others
 // grow old and are closed, but before one that has stood idle since rested, as more may be on its way there behind an answer.
-func (k *Conns) Idle(server *Server, rested policy.Time) *Conn {
+func (k *Conns) Take(server *Server, rested policy.Time) *Conn {
 	at := len(server.Idle) - 1
 	for i := at; i >= 0; i-- {
 		if server.Idle[i].Since <= rested {
