--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,13 +31,12 @@
 	repeatValue, waitPart = 0.5, 0.5                // worth of a client's repeat; what may wait of home's rate
 	firstWait             = 2.0                     // part of the quoted time that a first push may take
 	pushCredit, pushesCap = 0.1, 20                 // further pushes earned by each honoured, saved at most
-	splitWorth            = 5                       // load, for a crossing price of one, at which crossings pay
+	splitWorth, placeLost = 5, 0.5                  // load at which crossings pay; limit for a lone time-out
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
-	askEach                = 10 * Millisecond // for a sidecar to ask: the list's service does not grow with them
-	rateSpan               = 3 * Second       // memory of the rate meters
-	tendEvery              = Second / 4
-	marginTicks, pollTicks = 3, 10 // ticks before a cut-off to answer in, and between looks at waiting tickets
+	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
+	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
+	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in, and between looks at the queue
 )
 
 // New starts an instance.
@@ -571,6 +570,8 @@
 			b.regulate(now, s, 1, min(spent, quoted), quoted)
 			b.cut(now, s, 0.7)
 			s.ratio += 0.2 * (max(1, part) - s.ratio)
+		} else if o == TimedOut && float64(s.out+2) >= s.limit {
+			s.limit += placeLost // what waited for nothing held a place that others needed
 		}
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -489,3 +489,22 @@
 		}
 	}
 }
+
+// Pushes on silent connections hold places until they time out; limits that grow by answers alone left calm servers unused.
+func TestLoneTimeOutsGiveTheirPlaceBack(t *testing.T) {
+	b, q := started(fleet(1, "a"))
+	b.servers[0].limit = 3.9
+	var silent []Handle
+	for i := range 3 {
+		silent = append(silent, b.Admit(4*Second, 0, NoFranchise, fmt.Sprint(i), false, 4*Second))
+		b.Begin(4*Second, silent[i])
+	}
+	id := q.to[len(q.to)-1]
+	push(b, q, 4*Second+100*Millisecond, "other", Honoured, Millisecond)
+	for i, h := range silent {
+		b.PushEnded(5*Second, h, 0, id, TimedOut, Second, true)
+		if l := b.servers[0].limit; i == 0 && (l < 3.9+placeLost || l > 4+placeLost) || l > 4+2*placeLost {
+			t.Errorf("limit %.1f after %d lone time-outs", l, i+1)
+		}
+	}
+}
