--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -71,7 +71,7 @@
 }
 
 // mostUnread is what one connection may have sent before the loop has looked at it: more than any message but a list.
-const mostUnread = 256 << 10
+const mostUnread = 512 << 10
 
 func newSockets(clock Clock, buffers *state.Buffers, listen string, descriptors, clients int) *sockets {
 	s := &sockets{clock: clock, buffers: buffers, connect: connect, signal: make(chan struct{}, 1), room: make(chan struct{}, 1), most: int64(clients)}
