--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
-	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in, between looks at waits
+	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in; between looks
 )
 
 // New starts an instance.
