Give back shared connections that have carried nothing for a second

Where a connection carries many tickets, tend now asks the front to release one that has stood idle for idleKeep; Release closes idle connections in the HTTP and RPC fronts too.

--- a/internal/campaign/campaign.go
+++ b/internal/campaign/campaign.go
@@ -93,6 +93,10 @@
 		ColdTime:     p.Span("rules.cold_s"),
 		FallMultiple: p.Real("rules.fall_multiple"),
 	}
+	c.Streams = 1
+	if _, ok := p.Of["limits.streams_per_conn"]; ok {
+		c.Streams = p.Count("limits.streams_per_conn")
+	}
 	if c.MustAsk {
 		c.MustAskIn = p.Span("rules.must_ask_in_s")
 	}
--- a/internal/emulator/sidecar.go
+++ b/internal/emulator/sidecar.go
@@ -526,8 +526,9 @@
 	}
 }
 
-func (s *sidecar) Forget(policy.ServerID) {}
-func (s *sidecar) Log(string)             {}
+func (s *sidecar) Release(policy.ServerID) {}
+func (s *sidecar) Forget(policy.ServerID)  {}
+func (s *sidecar) Log(string)              {}
 
 // ---- what becomes of a push ----
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -402,6 +402,15 @@
 
 func (e *Engine) Log(line string) { e.Logger.Info(line) }
 
+// Release closes what stands idle to a server that stays listed.
+func (e *Engine) Release(id policy.ServerID) {
+	if s := e.Servers[id]; s != nil {
+		for _, f := range e.fronts {
+			f.Retire(s)
+		}
+	}
+}
+
 // Forget lets a server go that is listed no more. Its connections, if any are left, close when they are free.
 func (e *Engine) Forget(id policy.ServerID) {
 	if s := e.Servers[id]; s != nil {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -458,6 +458,13 @@
 // Honour has nothing to write: the bench passes a server's answer on by itself.
 func (i *instance) Honour(policy.Handle, policy.PushNo) {}
 
+// Release gives the connections to a server back.
+func (i *instance) Release(s policy.ServerID) {
+	i.action("release")
+	i.whole("endpoint", uint64(s))
+	i.out.WriteByte('\n')
+}
+
 // Forget has nothing to do: servers are named by their ids alone.
 func (i *instance) Forget(policy.ServerID) {}
 
--- a/internal/yardstick/lists.go
+++ b/internal/yardstick/lists.go
@@ -95,6 +95,7 @@
 func (nobody) GiveUp(policy.Handle)                             {}
 func (nobody) Wake(policy.Time)                                 {}
 func (nobody) FollowList(bool)                                  {}
+func (nobody) Release(policy.ServerID)                          {}
 func (nobody) Forget(policy.ServerID)                           {}
 func (nobody) Log(string)                                       {}
 
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -192,6 +192,8 @@
 func (w *world) Forget(ServerID)       { w.kinds["forgotten"]++ }
 func (w *world) Wake(in Time)          { w.after(in, func() { w.b.Woken(w.now) }) }
 
+func (w *world) Release(ServerID) {}
+
 func (w *world) FollowList(bool) {
 	w.after(100*Millisecond, func() {
 		if w.Intn(3) == 0 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,7 @@
 	splitWorth, placeLost = 5, 0.5                  // load at which crossings pay; limit for a lone time-out
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
+	idleKeep               = Second                 // a shared connection that carries nothing is given back
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
 	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in; between looks
@@ -357,6 +358,9 @@
 	t.out--
 	b.out--
 	b.servers[p].out--
+	if b.campaign.Streams > 1 {
+		b.servers[p].usedAt = now
+	}
 	if o < CalledOff {
 		b.judge(now, t, p, o, spent)
 	}
@@ -675,6 +679,10 @@
 		if now < s.asideTill && s.inTable {
 			b.aside++
 		}
+		if s.usedAt > 0 && s.out == 0 && now-s.usedAt >= idleKeep {
+			s.usedAt = 0
+			b.front.Release(s.ID)
+		}
 		if s.Standing != Gone {
 			s.leftAt = now
 		} else if s.inTable && now-s.leftAt >= holdTime && !empty && s.out == 0 && !b.bound(int32(i)) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -11,9 +11,10 @@
 // quiet is a front that remembers the last push and answers nothing.
 type quiet struct {
 	world
-	to   []ServerID
-	back int
-	gone int
+	to       []ServerID
+	back     int
+	gone     int
+	released int
 }
 
 func (q *quiet) Push(_ Handle, s ServerID, _ Time) { q.to = append(q.to, s) }
@@ -21,6 +22,7 @@
 func (q *quiet) GiveUp(Handle)                     { q.back++ }
 func (q *quiet) Wake(Time)                         {}
 func (q *quiet) FollowList(bool)                   {}
+func (q *quiet) Release(ServerID)                  { q.released++ }
 func (q *quiet) Forget(ServerID)                   { q.gone++ }
 
 func TestRulesAgainstPlainModel(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -17,6 +17,7 @@
 	row       int    // failures in a row
 	rowKey    uint64 // key of the last of them
 	asideTill Time
+	usedAt    Time // end of the latest push, until its connection is given back
 	skip      Time
 	trickle   int // pushes allowed out on return; 0 when in full use
 	served    meter
--- a/policy/types.go
+++ b/policy/types.go
@@ -118,6 +118,8 @@
 	MustAskIn    Time
 	MayCancel    bool
 	MaxPushes    int
+	Streams      int  // pushes that one connection carries at once
+	SecondCopies bool // a ticket may have two pushes out
 	Advice       Time // longest retry advice that is heeded; 0 where none is allowed
 	CrossPrice   float64
 	Tick         Time
@@ -135,6 +137,7 @@
 	GiveUp(h Handle)
 	Wake(in Time)
 	FollowList(on bool)
-	Forget(s ServerID) // gone for good; should the id come again, it is a new server
+	Release(s ServerID) // connections to it that carry nothing may close
+	Forget(s ServerID)  // gone for good; should the id come again, it is a new server
 	Log(line string)
 }
