Live weights: the most seen is the size, and servers over a bound of load are walked past

Lines: heard (weight set to 1), choose. Now size is the most seen, slots move only for a change of a tenth, and a part of the keys, growing with the excess over 1.5 times the mean held, walks past. Weights that hold still or are always 1 are dealt as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,7 @@
 	splitWorth, placeLost = 5, 0.5                  // load at which crossings pay; limit for a lone time-out
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
+	heldBound, resized     = 1.5, 1.1               // times the mean held that is walked past; change of size that moves slots
 	idleKeep               = Second                 // a shared connection that carries nothing is given back
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
@@ -73,6 +74,13 @@
 			s.Standing = Gone
 		}
 	}
+	size, held := 0.0, 0.0
+	for _, p := range b.byID {
+		if s := &b.servers[p]; s.Standing == Ready {
+			size, held = size+s.Weight, held+s.Weight*s.held
+		}
+	}
+	b.meanHeld = held / max(size, 1)
 	if first && len(b.byID) > 0 {
 		// Before anything is learned: sidecars are taken to be spread evenly over the zones, servers may not be.
 		b.nearPart = min(b.nearPart, float64(b.nearOwners*b.campaign.Zones)/float64(len(b.byID)))
@@ -81,7 +89,7 @@
 }
 
 func (b *Balancer) heard(now Time, m Member) {
-	if !b.campaign.Weighted || m.Weight <= 0 {
+	if m.Weight <= 0 {
 		m.Weight = 1
 	}
 	p, known := b.places[m.ID]
@@ -101,6 +109,13 @@
 	}
 	s := &b.servers[p]
 	s.seen = b.epoch
+	if !b.campaign.Weighted {
+		// The weight falls with load, so the most that was seen is the size; slots move only for a clear change.
+		s.held, m.Weight = max(0, s.Weight/m.Weight-1), max(s.Weight, m.Weight)
+		if m.Weight < s.Weight*resized {
+			m.Weight = s.Weight
+		}
+	}
 	reweighed := s.Weight != m.Weight
 	if m.Started > s.Started {
 		// A restarted server is cold and knows no keys; what was learned of it is void. Its budget starts
@@ -476,7 +491,7 @@
 			seen++
 			switch {
 			case !b.allowed(now, t, p):
-			case !b.usable(now, s):
+			case !b.usable(now, s) || b.over(t, s):
 				if spare < 0 && !b.cold(now, s) {
 					spare = p
 				}
@@ -535,6 +550,12 @@
 	return !b.cold(now, s) || b.save(now, s) >= 1
 }
 
+// over tells whether the ticket walks past a server that holds more than the bound for its size. The part of the
+// keys that do grows with the excess, so that hundreds of sidecars with one late list do not leave it all at once.
+func (b *Balancer) over(t *ticket, s *server) bool {
+	return float64(t.key>>24&0xfffff)/(1<<20) < 1-heldBound*(1+b.meanHeld)/(1+s.held)
+}
+
 func (b *Balancer) cold(now Time, s *server) bool {
 	return s.Started > 0 && now < s.Started+b.campaign.ColdTime
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -10,6 +10,7 @@
 	leftAt    Time    // when it was last seen to be listed
 	seen      uint32
 	out       int
+	held      float64 // tickets for each core, as the list last showed
 	limit     float64 // pushes that may be out to it
 	ratio     float64 // mean of answer time over quoted time
 	cutAt     Time
@@ -84,6 +85,7 @@
 	pushes     float64 // further pushes saved up
 	wakeAt     Time    // earliest call asked for; 0: none
 	tendAt     Time
+	meanHeld   float64 // tickets held for each core, over the fleet
 	borne      float64 // our honoured rate on warm servers, for each unit of weight
 	askAt      Time    // when to ask for the list; 0: following it
 	askWait    Time
