Keep idle shared connections for half a second; connected servers first tried and dropped

Tried: of the first 3 (8) servers of a ticket's walk the first with a connection goes first, idle connections kept for 1 or 3 s.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
 	heldBound, resized     = 1.5, 1.1               // times the mean held that is walked past; change of size that moves slots
-	idleKeep               = Second                 // a shared connection that carries nothing is given back
+	idleKeep               = Second / 2             // a shared connection that carries nothing is given back
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
 	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in; between looks
