--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	inRow, firstLimit     = 3, 2                    // failures that set aside; pushes out to a new server
 	spillMargin           = 2                       // free places, or fewer pushes, that a spill must find
 	roomy, crowded        = 0.15, 0.45              // load under which more may go out, and over which less must
-	paceLate, paceGrowth  = 0.35, 0.5               // mean lateness at which it is cut; growth at none
+	paceLate, paceGrowth  = 0.75, 0.5               // mean lateness at which it is cut; growth at none
 	paceSpare, paceFree   = 4, 16                   // times what is out, or pushes at each server, left to it
 	heatPrior             = 64                      // tickets taken to have come before, under other keys
 	shortOfHit            = 0.25                    // a cold server remembers no keys: four times the work
