--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,8 @@
 	inRow, firstLimit     = 3, 2                    // failures that set aside; pushes out to a new server
 	spillMargin           = 2                       // free places, or fewer pushes, that a spill must find
 	roomy, crowded        = 0.15, 0.45              // load under which more may go out, and over which less must
-	paceLate, paceGrowth  = 0.5, 0.5               // mean lateness at which it is cut; growth at none
+	paceLate, paceLost    = 0.75, 0.5               // mean lateness at which it is cut; where late answers earn nothing
+	paceGrowth            = 0.5                     // growth at no lateness
 	paceSpare, paceFree   = 4, 16                   // times what is out, or pushes at each server, left to it
 	heatPrior             = 64                      // tickets taken to have come before, under other keys
 	shortOfHit            = 0.25                    // a cold server remembers no keys: four times the work
@@ -45,9 +46,12 @@
 func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
 		usual: make([]float64, len(c.Offerings)), use: make([]meter, len(c.Franchises)), pushes: pushesCap / 2,
-		calm: 0.25, pace: math.MaxInt32, nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
+		calm: 0.25, tooLate: paceLost, pace: math.MaxInt32, nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
+		if o.LateCredit > 0 {
+			b.tooLate = paceLate
+		}
 	}
 	if c.MustAsk {
 		b.askWait = min(Time(c.Sidecars)*askEach, c.MustAskIn/4)
@@ -640,10 +644,10 @@
 	b.late += 0.1 * (late - b.late)
 	b.inUse += 0.1 * (float64(b.out+1) - b.inUse)
 	each := float64(len(b.byID)) / float64(b.campaign.Sidecars)
-	if b.late > paceLate && now-b.pacedAt > quoted/2 {
-		b.pacedAt, b.pace = now, max(each, min(b.pace, b.inUse)*max(0.5, paceLate/b.late))
-	} else if b.late < paceLate {
-		b.pace *= 1 + paceGrowth*(1-b.late/paceLate)*late/max(1, b.pace)
+	if b.late > b.tooLate && now-b.pacedAt > quoted/2 {
+		b.pacedAt, b.pace = now, max(each, min(b.pace, b.inUse)*max(0.5, b.tooLate/b.late))
+	} else if b.late < b.tooLate {
+		b.pace *= 1 + paceGrowth*(1-b.late/b.tooLate)*late/max(1, b.pace)
 		b.pace = min(b.pace, max(2, paceSpare*b.inUse, paceFree*each))
 	}
 	b.resumeAt = now + Time(float64(spent)*max(0, 1/b.pace-1))
--- a/policy/state.go
+++ b/policy/state.go
@@ -96,6 +96,7 @@
 	aside      int     // servers set aside
 	pace       float64 // pushes that may be out in all
 	inUse      float64 // mean of those that were
+	tooLate    float64 // mean of that at which it is cut
 	late       float64 // mean of answer time over quoted time
 	pacedAt    Time    // last cut of the pace
 	resumeAt   Time    // no push before
