--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,6 +53,9 @@
 			b.tooLate = paceLate
 		}
 	}
+	if c.Streams > 1 {
+		b.nearPart = 1
+	}
 	if c.MustAsk {
 		b.askWait = min(Time(c.Sidecars)*askEach, c.MustAskIn/4)
 		b.askAt = now + Time(b.chance.part()*float64(b.askWait)) + 1
@@ -78,13 +81,16 @@
 			s.Standing = Gone
 		}
 	}
-	size, held := 0.0, 0.0
+	var size, held [2]float64 // of all, and of this zone
 	for _, p := range b.byID {
-		if s := &b.servers[p]; s.Standing == Ready {
-			size, held = size+s.Weight, held+s.Weight*s.held
+		s := &b.servers[p]
+		for i := range size {
+			if s.Standing == Ready && (i == 0 || s.Zone == b.campaign.Zone) {
+				size[i], held[i] = size[i]+s.Weight, held[i]+s.Weight*s.held
+			}
 		}
 	}
-	b.meanHeld = held / max(size, 1)
+	b.meanHeld, b.nearHeld = held[0]/max(size[0], 1), held[1]/max(size[1], 1)
 	if first && len(b.byID) > 0 {
 		// Before anything is learned: sidecars are taken to be spread evenly over the zones, servers may not be.
 		b.nearPart = min(b.nearPart, float64(b.nearOwners*b.campaign.Zones)/float64(len(b.byID)))
@@ -736,9 +742,12 @@
 // lean sets the part of the keys that look near first: by key, so that each stays with one server.
 func (b *Balancer) lean() {
 	near, far, was := b.sides[1]-b.calm, b.sides[0]-b.calm, b.nearPart
+	if b.meanHeld > 0 {
+		near, far = b.nearHeld/(1+b.meanHeld), b.meanHeld/(1+b.meanHeld)
+	}
 	switch {
 	case b.campaign.CrossPrice == 0:
-	case near-far > leanAway, near > splitWorth*b.campaign.CrossPrice:
+	case near-far > leanAway, b.campaign.Streams <= 1 && near > splitWorth*b.campaign.CrossPrice:
 		b.nearPart = max(0, b.nearPart-0.05)
 	case near-far < leanBack:
 		b.nearPart = min(1, b.nearPart+0.01)
--- a/policy/state.go
+++ b/policy/state.go
@@ -86,6 +86,7 @@
 	wakeAt     Time    // earliest call asked for; 0: none
 	tendAt     Time
 	meanHeld   float64 // tickets held for each core, over the fleet
+	nearHeld   float64 // the same over this zone
 	borne      float64 // our honoured rate on warm servers, for each unit of weight
 	askAt      Time    // when to ask for the list; 0: following it
 	askWait    Time
