--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,9 +53,6 @@
 			b.tooLate = paceLate
 		}
 	}
-	if c.Streams > 1 {
-		b.nearPart = 1
-	}
 	if c.MustAsk {
 		b.askWait = min(Time(c.Sidecars)*askEach, c.MustAskIn/4)
 		b.askAt = now + Time(b.chance.part()*float64(b.askWait)) + 1
