Shared connections may stand idle for 20 s over all sidecars together

A server's table is shared by all sidecars, so what one may keep falls with their number (300: 67 ms).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
 	heldBound, resized     = 1.5, 1.1               // times the mean held that is walked past; change of size that moves slots
-	idleKeep               = Second / 2             // a shared connection that carries nothing is given back
+	idleKeep               = 20 * Second            // a shared connection may stand idle, over all sidecars
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
 	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in; between looks
@@ -710,7 +710,7 @@
 		if now < s.asideTill && s.inTable {
 			b.aside++
 		}
-		if s.usedAt > 0 && s.out == 0 && now-s.usedAt >= idleKeep {
+		if s.usedAt > 0 && s.out == 0 && now-s.usedAt >= idleKeep/Time(b.campaign.Sidecars) {
 			s.usedAt = 0
 			b.front.Release(s.ID)
 		}
