--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,7 @@
 	for _, p := range b.byID {
 		s := &b.servers[p]
 		for i := range size {
-			if s.Standing == Ready && (i == 0 || s.Zone == b.campaign.Zone) {
+			if s.Standing == Ready && now >= s.asideTill && (i == 0 || s.Zone == b.campaign.Zone) {
 				size[i], held[i] = size[i]+s.Weight, held[i]+s.Weight*s.held
 			}
 		}
@@ -682,6 +682,9 @@
 		need = 1 + int((inRow-1)*min(1, each))
 		skip = max(skip, Time(float64(Second)/max(each, 0.01)))
 	}
+	if o == NotConnected && b.campaign.Streams > 1 {
+		need = 1 // where connections last, one that fails tells more than a push
+	}
 	if s.row < need && s.trickle == 0 || now < s.asideTill || shared {
 		return
 	}
