--- a/policy/policy.go
+++ b/policy/policy.go
@@ -498,7 +498,7 @@
 			seen++
 			switch {
 			case !b.allowed(now, t, p):
-			case !b.usable(now, s) || b.over(t, s):
+			case !b.usable(now, s) || b.over(s):
 				if spare < 0 && !b.cold(now, s) {
 					spare = p
 				}
@@ -559,8 +559,8 @@
 
 // over tells whether the ticket walks past a server that holds more than the bound for its size. The part of the
 // keys that do grows with the excess, so that hundreds of sidecars with one late list do not leave it all at once.
-func (b *Balancer) over(t *ticket, s *server) bool {
-	return float64(t.key>>24&0xfffff)/(1<<20) < 1-heldBound*(1+b.meanHeld)/(1+s.held)
+func (b *Balancer) over(s *server) bool {
+	return b.chance.part() < 1-heldBound*(1+b.meanHeld)/(1+s.held)
 }
 
 func (b *Balancer) cold(now Time, s *server) bool {
