Answer repeats at once that cannot come in time any more

The most time that first tries come with is learned by offering, the cut-off is read from the settings; only where late answers earn nothing.

--- a/internal/campaign/campaign.go
+++ b/internal/campaign/campaign.go
@@ -110,6 +110,7 @@
 			Credit:     p.Real(at + "credit"),
 			LateCredit: p.Real(at + "overdue_credit"),
 			Quoted:     p.Span(at + "quoted_time_s"),
+			CutOff:     p.Span(at + "cut_off_s"),
 			Repeats:    policy.Repeats(p.OneOf(at+"idempotency", "retryable", "dedup", "fragile")),
 		}
 		if o.Repeats == policy.Numbered {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -10,7 +10,7 @@
 	"membership_mode=pushed limits.cancel=true limits.max_pushes=3 limits.retry_after=true " +
 	"limits.max_retry_after_s=2.0 prices.cross_zone=0.0 tick_s=0.005 rules.cold_from=0.2 rules.cold_s=10 " +
 	"rules.fall_multiple=3 rules.fall_s=1 offerings.count=1 offerings.0.name=step offerings.0.credit=5 " +
-	"offerings.0.overdue_credit=0 offerings.0.quoted_time_s=0.5 offerings.0.idempotency=retryable " +
+	"offerings.0.overdue_credit=0 offerings.0.quoted_time_s=0.5 offerings.0.cut_off_s=2 offerings.0.idempotency=retryable " +
 	"offerings.0.streamed=false unknown.thing=1\n"
 
 const id = "tid=5d3a91c4-b544-46b7-ac67-2a5efa00dc6c"
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,7 +45,7 @@
 // New starts an instance.
 func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
-		usual: make([]float64, len(c.Offerings)), use: make([]meter, len(c.Franchises)), pushes: pushesCap / 2,
+		usual: make([]float64, len(c.Offerings)), patience: make([]Time, len(c.Offerings)), use: make([]meter, len(c.Franchises)), pushes: pushesCap / 2,
 		calm: 0.25, tooLate: paceLost, pace: math.MaxInt32, nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
@@ -242,6 +242,12 @@
 		t.heat = b.heat(t.key)
 	}
 	t.value = b.worth(now, t, f, repeat)
+	// A try has at most the time of a first one; a repeat with less has what its client's first try left of the cut-off.
+	if of := &b.campaign.Offerings[o]; !repeat {
+		b.patience[o] = max(b.patience[o], left)
+	} else if of.LateCredit == 0 && left < b.patience[o]-b.margin() && of.CutOff-left > of.Quoted {
+		t.cutOff = now // too late to be worth anything: answered at once
+	}
 	return t.handle()
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -80,6 +80,7 @@
 	queue      []uint32  // places of waiting tickets, by worth, then age
 	calm       float64   // unloaded answer time over quoted time
 	usual      []float64 // mean answer time by offering, ns
+	patience   []Time    // most time that a first try came with, by offering
 	use        []meter   // arrivals by franchise
 	arrivals   meter
 	pushes     float64 // further pushes saved up
--- a/policy/types.go
+++ b/policy/types.go
@@ -93,6 +93,7 @@
 	Credit     float64
 	LateCredit float64 // part of the credit left between quoted time and cut-off
 	Quoted     Time
+	CutOff     Time // a client's patience over all its tries
 	Repeats    Repeats
 	Group      Group
 	Window     Time
