Count a repeat's quoted time from its first try where that can be told

Repeats with more time left than first tries (a last try gets all that is left of the cut-off) are dated back too, so that slack, waiting and further pushes go by the time since the first try.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -242,11 +242,13 @@
 		t.heat = b.heat(t.key)
 	}
 	t.value = b.worth(now, t, f, repeat)
-	// A try has at most the time of a first one; a repeat with less has what its client's first try left of the cut-off.
+	// A repeat with another time than first tries have has what they left of the cut-off: it is so much older.
 	if of := &b.campaign.Offerings[o]; !repeat {
 		b.patience[o] = max(b.patience[o], left)
-	} else if of.LateCredit == 0 && left < b.patience[o]-b.margin() && of.CutOff-left > of.Quoted {
-		t.cutOff = now // too late to be worth anything: answered at once
+	} else if of.LateCredit == 0 && max(left-b.patience[o], b.patience[o]-left) > b.margin() {
+		if t.arrived -= max(0, of.CutOff-left); now > t.arrived+of.Quoted {
+			t.cutOff = now // too late to be worth anything: answered at once
+		}
 	}
 	return t.handle()
 }
