The pace grows by time under one, and lateness is forgotten with time

Ruled out: servers set aside (none), the queue, saved pushes (10). Logged, the pace stood at 0.3 and lateness at 0.6 with answers in 0.4 quoted times. Causes in regulate: the mean over ten pushes lasts half a minute at one push in two seconds, and growth was counted by a push's own time, without the pause that follows it under a pace of one.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -652,13 +652,15 @@
 	if 1+s.held > heldBound*(1+b.meanHeld) {
 		return // its own trouble, and no reason to send less to the others
 	}
-	b.late += 0.1 * (late - b.late)
+	// What was late is forgotten with time too: held down to a push in two seconds, ten of them outlast any jam.
+	b.late += max(0.1, min(0.5, float64(now-b.heardAt)/float64(4*quoted))) * (late - b.late)
+	b.heardAt = now
 	b.inUse += 0.1 * (float64(b.out+1) - b.inUse)
 	each := float64(len(b.byID)) / float64(b.campaign.Sidecars)
 	if b.late > b.tooLate && now-b.pacedAt > quoted/2 {
 		b.pacedAt, b.pace = now, max(each, min(b.pace, b.inUse)*max(0.5, b.tooLate/b.late))
 	} else if b.late < b.tooLate {
-		b.pace *= 1 + paceGrowth*(1-b.late/b.tooLate)*late/max(1, b.pace)
+		b.pace *= 1 + paceGrowth*(1-b.late/b.tooLate)*min(1, late/b.pace)
 		b.pace = min(b.pace, max(2, paceSpare*b.inUse, paceFree*each))
 	}
 	b.resumeAt = now + Time(float64(spent)*max(0, 1/b.pace-1))
--- a/policy/state.go
+++ b/policy/state.go
@@ -100,6 +100,7 @@
 	inUse      float64 // mean of those that were
 	tooLate    float64 // mean of that at which it is cut
 	late       float64 // mean of answer time over quoted time
+	heardAt    Time    // latest change of that
 	pacedAt    Time    // last cut of the pace
 	resumeAt   Time    // no push before
 	done       meter   // honoured pushes
