Cut the pace when the list shows more held than can be answered in the quoted time

The list shows it to all at once. What an answer takes for each ticket held is learned while less is held (List, brake).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,7 +46,7 @@
 func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
 		usual: make([]float64, len(c.Offerings)), patience: make([]Time, len(c.Offerings)), use: make([]meter, len(c.Franchises)), pushes: pushesCap / 2,
-		calm: 0.25, tooLate: paceLost, pace: math.MaxInt32, nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
+		calm: 0.25, perHeld: 0.15, tooLate: paceLost, pace: math.MaxInt32, nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
 		if o.LateCredit > 0 {
@@ -88,6 +88,7 @@
 		}
 	}
 	b.meanHeld, b.nearHeld = held[0]/max(size[0], 1), held[1]/max(size[1], 1)
+	b.brake(now)
 	if first && len(b.byID) > 0 {
 		// Before anything is learned: sidecars are taken to be spread evenly over the zones, servers may not be.
 		b.nearPart = min(b.nearPart, float64(b.nearOwners*b.campaign.Zones)/float64(len(b.byID)))
@@ -95,6 +96,22 @@
 	b.drain(now, -1)
 }
 
+// brake cuts the pace when the list shows more held than can be answered in the quoted time, going by what answers took
+// while less was held: all sidecars see a jam at once, seconds before what each has out comes to its end.
+func (b *Balancer) brake(now Time) {
+	if b.meanHeld == 0 {
+		return
+	}
+	if expected := b.perHeld * (1 + b.meanHeld); expected < 1 {
+		b.perHeld += 0.05 * (max(b.late, b.calm)/(1+b.meanHeld) - b.perHeld)
+	} else if now-b.pacedAt > Second/4 {
+		b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, 1/expected))
+	}
+}
+
+// least is the pace at which all sidecars together have one push out at each server.
+func (b *Balancer) least() float64 { return float64(len(b.byID)) / float64(b.campaign.Sidecars) }
+
 func (b *Balancer) heard(now Time, m Member) {
 	if m.Weight <= 0 {
 		m.Weight = 1
@@ -656,12 +673,11 @@
 	b.late += max(0.1, min(0.5, float64(now-b.heardAt)/float64(4*quoted))) * (late - b.late)
 	b.heardAt = now
 	b.inUse += 0.1 * (float64(b.out+1) - b.inUse)
-	each := float64(len(b.byID)) / float64(b.campaign.Sidecars)
 	if b.late > b.tooLate && now-b.pacedAt > quoted/2 {
-		b.pacedAt, b.pace = now, max(each, min(b.pace, b.inUse)*max(0.5, b.tooLate/b.late))
+		b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, b.tooLate/b.late))
 	} else if b.late < b.tooLate {
 		b.pace *= 1 + paceGrowth*(1-b.late/b.tooLate)*min(1, late/b.pace)
-		b.pace = min(b.pace, max(2, paceSpare*b.inUse, paceFree*each))
+		b.pace = min(b.pace, max(2, paceSpare*b.inUse, paceFree*b.least()))
 	}
 	b.resumeAt = now + Time(float64(spent)*max(0, 1/b.pace-1))
 }
