Cut the pace by late answers only when the list, where it shows load, agrees

Cause: 71 sidecars with two or three tickets a second each; a few late answers in a row cut a sidecar's pace. What the list expects is a mean over all; the lower of the two now counts, unless the list is older than two seconds (regulate).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,7 @@
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
 	heldBound, resized     = 1.5, 1.1               // times the mean held that is walked past; change of size that moves slots
+	listFresh              = 2 * Second             // age of a list that what servers hold is still believed from
 	idleKeep               = 20 * Second            // a shared connection may stand idle, over all sidecars
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
@@ -67,6 +68,7 @@
 		b.askAt, b.askWait = 0, 0
 	}
 	b.tend(now)
+	b.listAt = now
 	first := len(b.byID) == 0
 	b.epoch++
 	byID := func(x, y Member) int { return cmp.Compare(x.ID, y.ID) }
@@ -673,10 +675,14 @@
 	b.late += max(0.1, min(0.5, float64(now-b.heardAt)/float64(4*quoted))) * (late - b.late)
 	b.heardAt = now
 	b.inUse += 0.1 * (float64(b.out+1) - b.inUse)
-	if b.late > b.tooLate && now-b.pacedAt > quoted/2 {
-		b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, b.tooLate/b.late))
-	} else if b.late < b.tooLate {
-		b.pace *= 1 + paceGrowth*(1-b.late/b.tooLate)*min(1, late/b.pace)
+	mean := b.late
+	if b.meanHeld > 0 && now-b.listAt < listFresh {
+		mean = min(mean, b.perHeld*(1+b.meanHeld)) // few own pushes: a few late ones mean nothing while little is held
+	}
+	if mean > b.tooLate && now-b.pacedAt > quoted/2 {
+		b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, b.tooLate/mean))
+	} else if mean < b.tooLate {
+		b.pace *= 1 + paceGrowth*(1-mean/b.tooLate)*min(1, late/b.pace)
 		b.pace = min(b.pace, max(2, paceSpare*b.inUse, paceFree*b.least()))
 	}
 	b.resumeAt = now + Time(float64(spent)*max(0, 1/b.pace-1))
--- a/policy/state.go
+++ b/policy/state.go
@@ -87,6 +87,7 @@
 	wakeAt     Time    // earliest call asked for; 0: none
 	tendAt     Time
 	meanHeld   float64 // tickets held for each core, over the fleet
+	listAt     Time    // latest list
 	perHeld    float64 // mean of answer time over quoted time, for each ticket held
 	nearHeld   float64 // the same over this zone
 	borne      float64 // our honoured rate on warm servers, for each unit of weight
