--- a/policy/types.go
+++ b/policy/types.go
@@ -120,7 +120,6 @@
 	MayCancel    bool
 	MaxPushes    int
 	Streams      int  // pushes that one connection carries at once
-	SecondCopies bool // a ticket may have two pushes out
 	Advice       Time // longest retry advice that is heeded; 0 where none is allowed
 	CrossPrice   float64
 	Tick         Time
