--- a/policy/policy.go
+++ b/policy/policy.go
@@ -710,7 +710,7 @@
 	shared := o != NotConnected && 2*(b.aside+1) > len(b.byID)
 	// Where a sidecar hears little of each server, three failures in a row, or two seconds, mean nothing.
 	need, skip, each := inRow, skipFirst, b.done.now(now)/float64(len(b.byID))
-	if b.late < 0.5 && b.recentAt > heatPrior {
+	if b.late < 0.5 && b.recentAt > heatPrior || s.held > b.meanHeld {
 		need = 1 + int((inRow-1)*min(1, each))
 		skip = max(skip, Time(float64(Second)/max(each, 0.01)))
 	}
