Let the near part rise faster where the list shows load, and rest while it is old

It now rises by 0.03 in 250 ms where the list shows what servers hold, rests while the list is over 2 s old, and idle connections may stand 30 s over all sidecars.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,7 @@
 
 	heldBound, resized     = 1.5, 1.1               // times the mean held that is walked past; change of size that moves slots
 	listFresh              = 2 * Second             // age of a list that what servers hold is still believed from
-	idleKeep               = 20 * Second            // a shared connection may stand idle, over all sidecars
+	idleKeep               = 30 * Second            // a shared connection may stand idle, over all sidecars
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
 	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in; between looks
@@ -759,7 +759,7 @@
 		}
 	}
 	b.borne = b.done.now(now) / max(warm, 1)
-	b.lean()
+	b.lean(now)
 	if b.short && now-b.turnedAt > Second {
 		b.short = false
 		b.front.Log("room again: no turn-back for a second")
@@ -772,17 +772,17 @@
 }
 
 // lean sets the part of the keys that look near first: by key, so that each stays with one server.
-func (b *Balancer) lean() {
-	near, far, was := b.sides[1]-b.calm, b.sides[0]-b.calm, b.nearPart
+func (b *Balancer) lean(now Time) {
+	near, far, was, rise := b.sides[1]-b.calm, b.sides[0]-b.calm, b.nearPart, 0.01
 	if b.meanHeld > 0 {
-		near, far = b.nearHeld/(1+b.meanHeld), b.meanHeld/(1+b.meanHeld)
+		near, far, rise = b.nearHeld/(1+b.meanHeld), b.meanHeld/(1+b.meanHeld), 0.03
 	}
 	switch {
-	case b.campaign.CrossPrice == 0:
+	case b.campaign.CrossPrice == 0, b.meanHeld > 0 && now-b.listAt >= listFresh:
 	case near-far > leanAway, b.campaign.Streams <= 1 && near > splitWorth*b.campaign.CrossPrice:
 		b.nearPart = max(0, b.nearPart-0.05)
 	case near-far < leanBack:
-		b.nearPart = min(1, b.nearPart+0.01)
+		b.nearPart = min(1, b.nearPart+rise)
 	}
 	if (was > 0) != (b.nearPart > 0) {
 		b.front.Log(fmt.Sprintf("near first: %.2f of the keys, load near %.2f, far %.2f", b.nearPart, near, far))
