--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	inRow, firstLimit     = 3, 2                    // failures that set aside; pushes out to a new server
 	spillMargin           = 2                       // free places, or fewer pushes, that a spill must find
 	roomy, crowded        = 0.15, 0.45              // load under which more may go out, and over which less must
-	paceLate, paceLost    = 0.75, 0.5               // mean lateness at which it is cut; where late answers earn nothing
+	paceLate, paceLost    = 0.75, 0.5               // mean lateness at which it is cut; where late earns nothing
 	paceGrowth            = 0.5                     // growth at no lateness
 	paceSpare, paceFree   = 4, 16                   // times what is out, or pushes at each server, left to it
 	heatPrior             = 64                      // tickets taken to have come before, under other keys
@@ -35,8 +35,8 @@
 	splitWorth, placeLost = 5, 0.5                  // load at which crossings pay; limit for a lone time-out
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
-	heldBound, resized     = 1.5, 1.1               // times the mean held that is walked past; change of size that moves slots
-	listFresh              = 2 * Second             // age of a list that what servers hold is still believed from
+	heldBound, resized     = 1.5, 1.1               // times the mean held, walked past; change that moves slots
+	listFresh              = 2 * Second             // age up to which a list is believed on load
 	idleKeep               = 30 * Second            // a shared connection may stand idle, over all sidecars
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
@@ -46,8 +46,9 @@
 // New starts an instance.
 func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
-		usual: make([]float64, len(c.Offerings)), patience: make([]Time, len(c.Offerings)), use: make([]meter, len(c.Franchises)), pushes: pushesCap / 2,
-		calm: 0.25, perHeld: 0.15, tooLate: paceLost, pace: math.MaxInt32, nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
+		usual: make([]float64, len(c.Offerings)), patience: make([]Time, len(c.Offerings)),
+		use: make([]meter, len(c.Franchises)), pushes: pushesCap / 2, calm: 0.25, perHeld: 0.15, tooLate: paceLost,
+		pace: math.MaxInt32, nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
 	for i, o := range c.Offerings {
 		b.usual[i] = float64(o.Quoted) / 4
 		if o.LateCredit > 0 {
@@ -98,8 +99,8 @@
 	b.drain(now, -1)
 }
 
-// brake cuts the pace when the list shows more held than can be answered in the quoted time, going by what answers took
-// while less was held: all sidecars see a jam at once, seconds before what each has out comes to its end.
+// brake cuts the pace when the list shows more held than can be answered in the quoted time, going by what
+// answers took while less was held: all see a jam at once, seconds before what each has out comes to its end.
 func (b *Balancer) brake(now Time) {
 	if b.meanHeld == 0 {
 		return
@@ -584,8 +585,8 @@
 	return !b.cold(now, s) || b.save(now, s) >= 1
 }
 
-// over tells whether the ticket walks past a server that holds more than the bound for its size. The part of the
-// keys that do grows with the excess, so that hundreds of sidecars with one late list do not leave it all at once.
+// over tells whether a ticket walks past a server that holds more than the bound for its size. The part that
+// does grows with the excess, so that hundreds of sidecars with one late list do not all leave it at once.
 func (b *Balancer) over(s *server) bool {
 	return b.chance.part() < 1-heldBound*(1+b.meanHeld)/(1+s.held)
 }
@@ -594,12 +595,21 @@
 	return s.Started > 0 && now < s.Started+b.campaign.ColdTime
 }
 
+// worksAs is what a server is taken to do. A size learned from weights that fall with load is too small until
+// the server was seen idle, as after our own restart; one that starts idle would seem several times as big.
+func (b *Balancer) worksAs(s *server) float64 {
+	if b.campaign.Weighted {
+		return s.Weight
+	}
+	return 1
+}
+
 // save lets a cold server's budget grow. Every sidecar allows it the same part of what its own pushes show
 // warm servers to bear, so that all parts together stay within the multiple, at any count of sidecars.
 func (b *Balancer) save(now Time, s *server) float64 {
 	c := b.campaign
 	share := c.ColdShare + (1-c.ColdShare)*float64(now-s.Started)/float64(c.ColdTime)
-	grow := max(0.25/float64(c.Sidecars), c.FallMultiple*share*shortOfHit*b.borne*s.Weight)
+	grow := max(0.25/float64(c.Sidecars), c.FallMultiple*share*shortOfHit*b.borne*b.worksAs(s))
 	s.budget, s.budgetAt = min(1, s.budget+grow*float64(now-s.budgetAt)/float64(Second)), now
 	return s.budget
 }
@@ -677,7 +687,7 @@
 	b.inUse += 0.1 * (float64(b.out+1) - b.inUse)
 	mean := b.late
 	if b.meanHeld > 0 && now-b.listAt < listFresh {
-		mean = min(mean, b.perHeld*(1+b.meanHeld)) // few own pushes: a few late ones mean nothing while little is held
+		mean = min(mean, b.perHeld*(1+b.meanHeld)) // a few late ones mean nothing while little is held
 	}
 	if mean > b.tooLate && now-b.pacedAt > quoted/2 {
 		b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, b.tooLate/mean))
@@ -739,7 +749,7 @@
 	for i := range b.servers {
 		s := &b.servers[i]
 		if s.Standing == Ready && !b.cold(now, s) {
-			warm += s.Weight
+			warm += b.worksAs(s)
 		}
 		s.ratio += 0.01 * (b.calm - s.ratio) // what has not been heard of for long fades
 		if now < s.asideTill && s.inTable {
