--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -192,7 +192,17 @@
 func (w *world) Forget(ServerID)       { w.kinds["forgotten"]++ }
 func (w *world) Wake(in Time)          { w.after(in, func() { w.b.Woken(w.now) }) }
 
-func (w *world) Release(ServerID) {}
+// Release must leave alone what carries something.
+func (w *world) Release(id ServerID) {
+	w.kinds["released"]++
+	for _, r := range w.requests {
+		for _, p := range r.pushes {
+			if p.out && p.server == id || w.campaign.Streams <= 1 {
+				w.fail("connections to server %d released: a push is out, or they carry one ticket each", id)
+			}
+		}
+	}
+}
 
 func (w *world) FollowList(bool) {
 	w.after(100*Millisecond, func() {
@@ -204,6 +214,14 @@
 	})
 }
 
+// load is a weight: 1, or where it falls with load what a server holding up to nine tickets a core has left.
+func (w *world) load() float64 {
+	if w.campaign.Weighted {
+		return 1
+	}
+	return 1 / float64(1+w.Intn(10))
+}
+
 // list changes the fleet a little and tells the sidecar.
 func (w *world) list(kind ListKind) {
 	var all []Member
@@ -219,7 +237,7 @@
 		case 3:
 			m.Standing = Ready
 		}
-		m.ID, m.Weight, m.Zone, m.Cell = id, 1, Zone([]string{"a", "b"}[id%2]), Cell(id%4)
+		m.ID, m.Weight, m.Zone, m.Cell = id, w.load(), Zone([]string{"a", "b"}[id%2]), Cell(id%4)
 		w.fleet[id] = m
 		all = append(all, m)
 	}
@@ -302,9 +320,10 @@
 			Sidecars: 1 + r.Intn(4), Zone: "a", Franchises: []Franchise{{"x", 20}, {"y", 20}}, BeyondCredit: 0.05,
 			Quotas: 40, Zones: 2,
 			MustAsk: r.Intn(2) == 0, MustAskIn: 10 * Second, MayCancel: true, MaxPushes: 3, Advice: Second,
+			Weighted: r.Intn(2) == 0, Streams: 1 + 99*r.Intn(2),
 			CrossPrice: 0.1 * float64(r.Intn(2)), Tick: 5 * Millisecond, ColdShare: 0.1 + r.Float64()/4,
 			ColdTime: 20 * Second, FallMultiple: 3, Offerings: []Offering{
-				{Name: "r", Credit: 5, Quoted: Second / 2},
+				{Name: "r", Credit: 5, Quoted: Second / 2, CutOff: 2 * Second},
 				{Name: "n", LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Window: Second / 2},
 				{Name: "z", LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Group: GroupZone, Window: Second / 2},
 				{Name: "c", LateCredit: 0.2, Quoted: Second / 2, Repeats: Numbered, Group: GroupCell, Window: Second},
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -138,7 +138,7 @@
 	s.seen = b.epoch
 	if !b.campaign.Weighted {
 		// The weight falls with load, so the most that was seen is the size; slots move only for a clear change.
-		s.held, m.Weight = max(0, s.Weight/m.Weight-1), max(s.Weight, m.Weight)
+		s.held = max(0, s.Weight/m.Weight-1)
 		if m.Weight < s.Weight*resized {
 			m.Weight = s.Weight
 		}
--- /dev/null
+++ b/policy/pool_test.go
@@ -0,0 +1,153 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+)
+
+// pool is an instance among 100 sidecars before ten servers whose weights fall with load.
+func pool(w *quiet, late float64) *Balancer {
+	b := New(w, &Campaign{Sidecars: 100, Zone: "a", Zones: 1, MaxPushes: 3, Tick: 5 * Millisecond, Streams: 100,
+		ColdShare: 0.2, ColdTime: 10 * Second, FallMultiple: 3, Offerings: []Offering{{Name: "r", Credit: 1,
+			LateCredit: late, Quoted: Second, CutOff: 2 * Second}}}, 7, Second)
+	b.List(Second, ListFull, loaded(nil))
+	return b
+}
+
+// loaded lists ten servers of size 2, some of which hold so many tickets a core.
+func loaded(held map[int]float64) []Member {
+	var all []Member
+	for i := range 10 {
+		all = append(all, Member{ID: ServerID(i + 1), Weight: 2 / (1 + held[i]), Zone: "a"})
+	}
+	return all
+}
+
+func (q *quiet) ask(b *Balancer, now Time, key string, repeat bool, left Time) Handle {
+	h := b.Admit(now, 0, NoFranchise, key, repeat, left)
+	b.Begin(now, h)
+	return h
+}
+
+// Weights that fall with load move no slots; a server that holds ten times the mean is walked past by most tickets.
+func TestLoadedServersAreWalkedPastAndKeepTheirSlots(t *testing.T) {
+	w := &quiet{}
+	b := pool(w, 0)
+	table := fmt.Sprint(b.table)
+	b.List(2*Second, ListChanges, loaded(map[int]float64{3: -0.05})[3:4]) // noise: a little over its size
+	b.List(2*Second, ListChanges, loaded(map[int]float64{3: 30})[3:4])
+	if fmt.Sprint(b.table) != table {
+		t.Error("slots have moved for load")
+	}
+	to := map[ServerID]int{}
+	for i := range 1000 {
+		h := w.ask(b, 2*Second, fmt.Sprint(i), false, 2*Second)
+		to[w.to[len(w.to)-1]]++
+		b.PushEnded(2*Second, h, 0, w.to[len(w.to)-1], CalledOff, 0, true)
+	}
+	if to[4] > 50 || to[1]+to[2]+to[3]+to[5] < 300 {
+		t.Errorf("tickets by server: %v", to)
+	}
+	b.List(3*Second, ListChanges, loaded(nil)[3:4])
+	if s := b.servers[b.places[4]]; s.held != 0 || s.Weight != 2 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// An idle connection is given back once it has stood its part of the time that all sidecars together may keep one.
+func TestIdleSharedConnectionsAreReleased(t *testing.T) {
+	for streams, want := range map[int]int{1: 0, 100: 1} {
+		w := &quiet{}
+		b := pool(w, 0)
+		b.campaign.Streams = streams
+		h := w.ask(b, 2*Second, "k", false, 2*Second)
+		b.Woken(3 * Second)
+		before := w.released
+		b.PushEnded(3*Second, h, 0, w.to[0], Honoured, Second, true)
+		b.tend(3*Second + idleKeep/100 - 1)
+		early := w.released
+		b.tend(4 * Second)
+		b.tend(5 * Second)
+		if before > 0 || early > 0 || w.released != want {
+			t.Errorf("%d streams: %d released while out, %d early, %d at last", streams, before, early, w.released)
+		}
+	}
+}
+
+// A repeat that has less time left than first tries come with is as old as what is missing of the cut-off.
+func TestRepeatsTooLateAreAnsweredAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		late   float64
+		repeat bool
+		left   Time
+		pushed int
+	}{{0, true, 400 * Millisecond, 0}, {0, false, 400 * Millisecond, 1}, {0, true, 800 * Millisecond, 1},
+		{0, true, 1500 * Millisecond, 1}, {0.2, true, 400 * Millisecond, 1}} {
+		w := &quiet{}
+		b := pool(w, c.late)
+		w.ask(b, 2*Second, "a", false, 800*Millisecond)
+		w.ask(b, 3*Second, "b", c.repeat, c.left)
+		if len(w.to) != 1+c.pushed || w.back != 1-c.pushed {
+			t.Errorf("%+v: %d pushed, %d turned back", c, len(w.to)-1, w.back)
+		}
+	}
+}
+
+// A list that shows every server full cuts the pace at once, and not below one push at each server from all together.
+func TestPaceIsCutByTheList(t *testing.T) {
+	w := &quiet{}
+	b := pool(w, 0)
+	b.pace, b.inUse = 5, 5
+	all := map[int]float64{}
+	for i := range 10 {
+		all[i] = 1
+	}
+	b.List(2*Second, ListChanges, loaded(all))
+	if b.pace != 5 {
+		t.Errorf("pace %v while one ticket a core is held", b.pace)
+	}
+	for i := range all {
+		all[i] = 20
+	}
+	b.List(3*Second, ListChanges, loaded(all))
+	if b.pace > 2.5 {
+		t.Errorf("pace %v while twenty are", b.pace)
+	}
+	for n := range Time(20) {
+		b.List((4+n)*Second, ListChanges, loaded(all))
+	}
+	if b.pace != 0.1 {
+		t.Errorf("pace %v at last", b.pace)
+	}
+	// One push in ten seconds, long in time: it says more than what was late before it.
+	b.late, b.pace = 1, 0.1
+	for n := range Time(6) {
+		at := (100 + 10*n) * Second
+		b.List(at, ListChanges, loaded(map[int]float64{0: 0.1}))
+		h := w.ask(b, at, fmt.Sprint(n), false, 2*Second)
+		b.PushEnded(at+100*Millisecond, h, 0, w.to[len(w.to)-1], Honoured, 100*Millisecond, true)
+	}
+	if b.late > 0.2 || b.pace < 0.25 {
+		t.Errorf("lateness %v, pace %v after answers in time", b.late, b.pace)
+	}
+}
+
+// One failure sets a server aside where it could not be reached over a shared connection, or holds more than the mean.
+func TestOneFailureSetsAsideInAPool(t *testing.T) {
+	for _, c := range []struct {
+		held  float64
+		o     Outcome
+		aside bool
+	}{{0, NotConnected, true}, {0, TimedOut, false}, {9, TimedOut, true}, {9, TurnedAway, false}} {
+		w := &quiet{}
+		b := pool(w, 0)
+		b.late = 0.6
+		h := w.ask(b, 2*Second, "k", false, 2*Second)
+		at := int(w.to[0]) - 1
+		b.List(2*Second, ListChanges, loaded(map[int]float64{at: c.held, (at + 1) % 10: 0.1})[at:at+1])
+		b.PushEnded(3*Second, h, 0, w.to[0], c.o, Second, false)
+		if aside := b.servers[b.places[w.to[0]]].asideTill > 3*Second; aside != c.aside {
+			t.Errorf("%+v: aside %v", c, aside)
+		}
+	}
+}
