Read the pool's settings from both configurations; pepperlead migrate writes a pool's file

Faults of the platform's settings say what was found and what is allowed. A test on loopback serves a migrated file from a list whose weights fall with load.

--- a/cmd/pepperlead/main_test.go
+++ b/cmd/pepperlead/main_test.go
@@ -4,11 +4,18 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
+
+	"pepperlead/internal/standin"
 )
 
 func TestCommands(t *testing.T) {
@@ -88,3 +95,107 @@
 		}
 	}
 }
+
+// An old file becomes a pool's, is served, and follows a list whose weights fall with load; a dry run and a bad file write nothing.
+func TestMigratedSidecarServesALoadedList(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name string) string { return filepath.Join(dir, name) }
+	put := func(name, text string) {
+		if err := os.WriteFile(file(name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out bytes.Buffer
+	var addrs []string
+	for range 2 {
+		s, err := standin.Start("127.0.0.1:0", standin.Traits{Cores: 4, Queue: 16, Work: time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		addrs = append(addrs, s.Addr())
+	}
+	list := func(weights ...float64) {
+		text := ""
+		for i, w := range weights {
+			text += fmt.Sprintf("[[server]]\nid = \"s%d\"\naddress = %q\nweight = %g\n", i, addrs[i], w)
+		}
+		if old, err := os.ReadFile(file("servers.list")); err == nil {
+			text += string(old[bytes.Index(old, []byte("[whole]")):]) // so that issues go on
+		}
+		put("new.list.part", text)
+		if err := run([]string{"list", "seal", file("new.list.part")}, &out); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(file("new.list.part"), file("servers.list")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	list(2, 2)
+	old := "[front.http]\nlisten = \"127.0.0.1:1\"\nrequest_id = \"optional\"\n[limits]\npushes = 3\n[[offering]]\nname = \"step\"\n" +
+		"quoted_time = \"1s\"\ncut_off = \"2s\"\nrepeats = \"reissuable\"\ndefault = true\n[source]\nkind = \"files\"\n" +
+		"files = [\"servers.list\"]\nsealed = true\n"
+	put("old.toml", old)
+	put("bad.toml", strings.Replace(old, "pushes = 3", "pushes = 30", 1))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := l.Addr().String()
+	l.Close()
+	for _, k := range []struct{ dry, from, fault string }{{"--dry-run", "old.toml", ""}, {"--dry-run=false", "bad.toml", ":5: limits.pushes: found 30, allowed"},
+		{"--dry-run=false", "old.toml", ""}, {"--dry-run=false", "old.toml", "it exists"}} {
+		before, _ := os.ReadFile(file("new.toml"))
+		err := run([]string{"migrate", k.dry, "--listen", at, "--instances", "20", file(k.from), file("new.toml")}, &out)
+		after, _ := os.ReadFile(file("new.toml"))
+		if writes := k == struct{ dry, from, fault string }{"--dry-run=false", "old.toml", ""}; (err == nil) != (k.fault == "") ||
+			err != nil && !strings.Contains(err.Error(), k.fault) || (string(before) != string(after)) != writes {
+			t.Errorf("%+v: %v; %q before, %q after", k, err, before, after)
+		}
+	}
+	if left, _ := filepath.Glob(file(".migrate-*")); len(left) > 0 {
+		t.Errorf("left behind: %v", left)
+	}
+	program := file("pepperlead")
+	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v %s", err, built)
+	}
+	c := exec.Command(program, "serve", "--config", file("new.toml"))
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { c.Process.Signal(syscall.SIGTERM); c.Wait() }()
+	get := func(page string) (int, string) {
+		answer, err := http.Get("http://" + at + page)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer answer.Body.Close()
+		body, _ := io.ReadAll(answer.Body)
+		return answer.StatusCode, string(body)
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if status, body := get("/_health"); status == 200 {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal(body)
+		}
+	}
+	for n := range 10 {
+		list(2, 2/float64(n+2)) // the second server holds more and more
+		for range 5 {
+			if status, body := get("/step"); status != 200 {
+				t.Errorf("%d %s", status, body)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		_, counters := get("/_counters")
+		if strings.Contains(counters, "lists_refused 0\n") && strings.Contains(counters, "servers_known 2\n") && !strings.Contains(counters, "lists 1\n") {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal(counters)
+		}
+	}
+}
--- a/internal/campaign/campaign.go
+++ b/internal/campaign/campaign.go
@@ -17,16 +17,16 @@
 	Err error
 }
 
-func (p *Values) fail(name, what string) {
+func (p *Values) fail(name, found, allowed string) {
 	if p.Err == nil {
-		p.Err = fmt.Errorf("%s: %s", name, what)
+		p.Err = fmt.Errorf("%s: found %s, allowed %s", name, found, allowed)
 	}
 }
 
 func (p *Values) Text(name string) string {
 	v, ok := p.Of[name]
 	if !ok {
-		p.fail(name, "missing")
+		p.fail(name, "nothing", "a value: it must be given")
 	}
 	return v
 }
@@ -35,7 +35,7 @@
 	v := p.Text(name)
 	f, err := strconv.ParseFloat(v, 64)
 	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
-		p.fail(name, v+" is not a number from 0 up")
+		p.fail(name, v, "a number from 0 up")
 	}
 	return f
 }
@@ -44,23 +44,25 @@
 	v := p.Text(name)
 	n, err := strconv.ParseUint(v, 10, 16)
 	if err != nil {
-		p.fail(name, v+" is not a count")
+		p.fail(name, v, "a whole number from 0 to 65535")
 	}
 	return int(n)
 }
 
 func (p *Values) Span(name string) policy.Time {
-	t, err := Span(name, p.Text(name))
+	v := p.Text(name)
+	t, err := Span(name, v)
 	if err != nil {
-		p.fail(name, err.Error())
+		p.fail(name, v, "seconds from 0 up")
 	}
 	return t
 }
 
 func (p *Values) Yes(name string) bool {
-	b, err := Boolean(name, p.Text(name))
+	v := p.Text(name)
+	b, err := Boolean(name, v)
 	if err != nil {
-		p.fail(name, err.Error())
+		p.fail(name, v, "true or false")
 	}
 	return b
 }
@@ -73,7 +75,7 @@
 			return i
 		}
 	}
-	p.fail(name, v+" is not served")
+	p.fail(name, v, strings.Join(words, ", "))
 	return 0
 }
 
@@ -94,8 +96,10 @@
 		FallMultiple: p.Real("rules.fall_multiple"),
 	}
 	c.Streams = 1
-	if _, ok := p.Of["limits.streams_per_conn"]; ok {
-		c.Streams = p.Count("limits.streams_per_conn")
+	if v, ok := p.Of["limits.streams_per_conn"]; ok {
+		if c.Streams = p.Count("limits.streams_per_conn"); c.Streams == 0 {
+			p.fail("limits.streams_per_conn", v, "a whole number from 1 to 65535")
+		}
 	}
 	if c.MustAsk {
 		c.MustAskIn = p.Span("rules.must_ask_in_s")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,11 @@
 	if err != nil {
 		return Orders{}, err
 	}
+	return Parse(path, b, env)
+}
+
+// Parse takes orders from the text of such a file.
+func Parse(path string, b []byte, env func(string) string) (Orders, error) {
 	if bytes.HasPrefix(bytes.TrimSpace(b), []byte("{")) {
 		return platform(path, b, env)
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -43,15 +43,24 @@
 	if post.Listen != "127.9.9.9:1" || post.Discovery != "127.2.0.1:8500" || post.Seed != 0x8c1f30d27a5be964 ||
 		post.Descriptors != 1024 || post.ConnectIn != policy.Second/5 || post.IdleFor != 60*policy.Second ||
 		post.Leave != longest+acceptFor || c.Zones != 2 || c.Sidecars != 3 || len(c.Offerings) != 2 || c.Quotas != 30 ||
-		c.Offerings[0].Name != "step, first" || c.Offerings[1].Group != policy.GroupCell || !c.Weighted {
+		c.Streams != 1 || c.Offerings[1].CutOff != 4*policy.Second || c.Offerings[0].Name != "step, first" || c.Offerings[1].Group != policy.GroupCell || !c.Weighted {
 		t.Errorf("%+v\n%+v", post, c)
 	}
 }
 
+func TestPoolsAreRead(t *testing.T) {
+	text := strings.NewReplacer(`"rough"`, `"live"`, `"max_pushes":3`, `"max_pushes":3,"streams_per_conn":100`).Replace(told)
+	post, err := Read(write(t, text), func(string) string { return "" })
+	if err != nil || post.Campaign.Weighted || post.Campaign.Streams != 100 {
+		t.Errorf("%v %+v", err, post.Campaign)
+	}
+}
+
 func TestBadConfigurationsAreToldInOneLine(t *testing.T) {
 	none := func(string) string { return "" }
 	for _, change := range [][2]string{{"{", ""}, {`"seed":"8c`, `"seed":"xx`}, {`"seed":"8c1f30d27a5be964",`, ""}, {"1024", "8"},
-		{"192", "1"}, {`"127.0.0.4:9000"`, `""`}, {`"tick_s":0.005,`, ""}, {`"rough"`, `"odd"`}, {"0.13", `"much"`},
+		{"192", "1"}, {`"127.0.0.4:9000"`, `""`}, {`"tick_s":0.005,`, ""}, {`"rough"`, `"odd"`},
+		{`"max_pushes":3`, `"max_pushes":3,"streams_per_conn":0`}, {"0.13", `"much"`},
 		{`"quoted_time_s":1.5`, `"quoted_time_s":-1`}, {`"offerings":[`, `"offers":[`}, {"0.2,", "{},"}, {`"conn_idle_s":60.0`, `"x":1`}} {
 		text := strings.Replace(told, change[0], change[1], 1)
 		_, err := Read(write(t, text), none)
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -338,6 +338,7 @@
 		if o.CutOff = t.Span("cut_off", o.Quoted, policy.Millisecond, day); o.CutOff < o.Quoted {
 			t.Fault("cut_off", t.Found("cut_off"), "at least the quoted time")
 		}
+		o.Offering.CutOff = o.CutOff // the module's copy
 		if o.Repeats == policy.Numbered {
 			t.Require("window")
 		}
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -80,7 +80,7 @@
 
 func (in *Installation) read(root *document.Table, folder string) {
 	root.Require("offering", "source")
-	c := &policy.Campaign{Weighted: true}
+	c := &policy.Campaign{}
 	in.Campaign = c
 	in.instance(root.Table("instance"))
 	fronts := root.Table("front")
@@ -163,6 +163,7 @@
 	}
 	c.Sidecars = int(t.Count("instances", 1, 1, 1<<16))
 	c.CrossPrice = t.Real("cross_price", 0, 0, 1)
+	c.Weighted = t.OneOf("weights", 0, "nominal", "live") == 0
 	if seed := t.Text("seed", ""); seed != "" {
 		var err error
 		if in.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
@@ -181,6 +182,7 @@
 	in.IdleFor = t.Span("idle", 60*policy.Second, policy.Second/10, 3600*policy.Second)
 	in.Leave = t.Span("leave", 0, policy.Second/10, 3600*policy.Second)
 	c.MaxPushes = int(t.Count("pushes", 3, 1, 8))
+	c.Streams = int(t.Count("streams", 1, 1, 1<<16))
 	c.MayCancel = t.Yes("cancel", true)
 	c.Advice = t.Span("advice", 3*policy.Second, 0, 3600*policy.Second)
 	c.Tick = t.Span("tick", 5*policy.Millisecond, policy.Millisecond, 100*policy.Millisecond)
@@ -216,7 +218,7 @@
 		}
 		first[o.Name] = t.Line("name")
 		cutOff := t.Span("cut_off", max(o.Quoted, marginTicks*c.Tick), marginTicks*c.Tick, 3600*policy.Second)
-		if cutOff < o.Quoted {
+		if o.CutOff = cutOff; cutOff < o.Quoted {
 			t.Fault("cut_off", t.Found("cut_off"), fmt.Sprintf("at least the quoted time, %v", time.Duration(o.Quoted)))
 		}
 		numbered := o.Repeats == policy.Numbered
