In a pool, count a franchise as beyond its share only when chance cannot explain it

Seen in the code: eight fund houses' tickets come to one of 341 sidecars at some 0.6 a second each, and a mean over three seconds is over 1.1 times the share half of the time; those tickets count for a twentieth.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,7 @@
 	paceGrowth            = 0.5                     // growth at no lateness
 	paceSpare, paceFree   = 4, 16                   // times what is out, or pushes at each server, left to it
 	heatPrior             = 64                      // tickets taken to have come before, under other keys
+	sureBeyond            = 2                       // standard errors by which our count must be over a share
 	shortOfHit            = 0.25                    // a cold server remembers no keys: four times the work
 	repeatValue, waitPart = 0.5, 0.5                // worth of a client's repeat; what may wait of home's rate
 	firstWait             = 2.0                     // part of the quoted time that a first push may take
@@ -35,12 +36,12 @@
 	splitWorth, placeLost = 5, 0.5                  // load at which crossings pay; limit for a lone time-out
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
-	heldBound, resized     = 1.5, 1.1               // times the mean held, walked past; change that moves slots
-	listFresh              = 2 * Second             // age up to which a list is believed on load
-	idleKeep               = 30 * Second            // a shared connection may stand idle, over all sidecars
-	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
-	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
-	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in; between looks
+	heldBound, resized     = 1.5, 1.1                // times the mean held, walked past; change that moves slots
+	listFresh              = 2 * Second              // age up to which a list is believed on load
+	idleKeep               = 30 * Second             // a shared connection may stand idle, over all sidecars
+	askEach                = 10 * Millisecond        // for a sidecar to ask: the list's service does not grow
+	rateSpan, tendEvery    = 15 * Second, Second / 4 // memory of the rate meters; between looks at all servers
+	marginTicks, pollTicks = 3, 10                   // ticks before a cut-off to answer in; between looks
 )
 
 // New starts an instance.
@@ -298,7 +299,11 @@
 		b.use[f].count(now)
 		// Others' traffic is unseen: our part of the quotas is taken for our part of all, at least an equal one.
 		part := min(1, max(1/float64(b.campaign.Sidecars), b.arrivals.rate/b.campaign.Quotas))
-		if b.use[f].rate > 1.1*part*b.campaign.Franchises[f].Quota {
+		most := 1.1 * part * b.campaign.Franchises[f].Quota
+		if b.campaign.Streams > 1 { // a pool's sidecar counts too few of each to tell a share from chance
+			most += sureBeyond * math.Sqrt(most/float64(2*rateSpan/Second))
+		}
+		if b.use[f].rate > most {
 			v *= max(b.campaign.BeyondCredit, 0.01)
 		}
 	}
--- a/policy/pool_test.go
+++ b/policy/pool_test.go
@@ -151,3 +151,22 @@
 		}
 	}
 }
+
+// A franchise's share is a few tickets in ten seconds at one of a hundred sidecars: two at once are chance, thirty are not.
+func TestChanceIsNotTakenForMoreThanAShare(t *testing.T) {
+	b := pool(&quiet{}, 0)
+	b.campaign.Franchises, b.campaign.Quotas, b.campaign.BeyondCredit = []Franchise{{"x", 60}, {"y", 60}}, 120, 0.05
+	b.use = make([]meter, 2)
+	first := b.worth(2*Second, &ticket{}, 0, false)
+	if second := b.worth(2*Second, &ticket{}, 0, false); second != first {
+		t.Errorf("worth %v, then %v", first, second)
+	}
+	for range 28 {
+		b.worth(2*Second, &ticket{}, 1, false) // its own part of our traffic grows as well
+		b.worth(2*Second, &ticket{}, 0, false)
+	}
+	b.arrivals = meter{}
+	if last := b.worth(2*Second, &ticket{}, 0, false); last != 0.05*first {
+		t.Errorf("worth %v, after thirty at once %v", first, last)
+	}
+}
