--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,12 +36,12 @@
 	splitWorth, placeLost = 5, 0.5                  // load at which crossings pay; limit for a lone time-out
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
-	heldBound, resized     = 1.5, 1.1                // times the mean held, walked past; change that moves slots
-	listFresh              = 2 * Second              // age up to which a list is believed on load
-	idleKeep               = 30 * Second             // a shared connection may stand idle, over all sidecars
-	askEach                = 10 * Millisecond        // for a sidecar to ask: the list's service does not grow
-	rateSpan, tendEvery    = 15 * Second, Second / 4 // memory of the rate meters; between looks at all servers
-	marginTicks, pollTicks = 3, 10                   // ticks before a cut-off to answer in; between looks
+	heldBound, resized     = 1.5, 1.1               // times the mean held, walked past; change that moves slots
+	listFresh              = 2 * Second             // age up to which a list is believed on load
+	idleKeep               = 30 * Second            // a shared connection may stand idle, over all sidecars
+	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
+	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
+	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in; between looks
 )
 
 // New starts an instance.
