--- a/policy/policy.go
+++ b/policy/policy.go
@@ -593,7 +593,8 @@
 // over tells whether a ticket walks past a server that holds more than the bound for its size. The part that
 // does grows with the excess, so that hundreds of sidecars with one late list do not all leave it at once.
 func (b *Balancer) over(s *server) bool {
-	return b.chance.part() < 1-heldBound*(1+b.meanHeld)/(1+s.held)
+	takes := heldBound * (1 + b.meanHeld) / (1 + s.held)
+	return b.chance.part() > takes*takes
 }
 
 func (b *Balancer) cold(now Time, s *server) bool {
