--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -229,7 +229,7 @@
 	}
 }
 
-// nord-energi i9d3343: near servers were flooded by their own zone's sidecars while far ones idled.
+// Near servers were flooded by their own zone's sidecars while far ones idled.
 func TestLoadedNearSideGivesKeysAway(t *testing.T) {
 	q := &quiet{}
 	c := campaign()
@@ -297,7 +297,7 @@
 	return b, q
 }
 
-// oslo-skript and vest-fornying at full size: the most asked keys are each more than a server can do.
+// oslo-skript-later at full size: the most asked keys are each more than a server can do.
 func TestHotKeysAreDealtOverServers(t *testing.T) {
 	_, q := lived(200, 10)
 	slices.Sort(q.to)
@@ -306,7 +306,7 @@
 	}
 }
 
-// vest-fornying at full size: a sidecar that hears of a server once in a minute judged it by three failures.
+// At full size a sidecar that hears of a server once in a minute judged it by three failures.
 func TestSingleFailureCountsWhereLittleIsHeard(t *testing.T) {
 	b, q := lived(200, 200)
 	h := b.Admit(60*Second, 0, NoFranchise, "one", false, 2*Second)
@@ -318,7 +318,7 @@
 	}
 }
 
-// vest-fornying at 118 sidecars: one push from each to each server kept all servers choked.
+// One push from each to each server kept all servers choked.
 func TestPaceFollowsLateness(t *testing.T) {
 	b, q := started(fleet(20, "a"))
 	b.campaign.Sidecars = 100
@@ -369,7 +369,7 @@
 	}
 }
 
-// nord-energi, 846 sidecars: where few servers are near, all keys looked there before anything was learned.
+// Where few servers are near, all keys looked there before anything was learned.
 func TestNearPartStartsAtTheNearServersPart(t *testing.T) {
 	c := campaign()
 	c.CrossPrice, c.Zones = 0.2, 2
