--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,7 @@
 
 	heldBound, resized     = 1.5, 1.1               // times the mean held, walked past; change that moves slots
 	listFresh              = 2 * Second             // age up to which a list is believed on load
-	idleKeep               = 30 * Second            // a shared connection may stand idle, over all sidecars
+	idleKeep               = 10 * Second            // idle time of shared connections over all, at full load
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
 	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in; between looks
@@ -752,6 +752,8 @@
 	b.aside = 0
 	// An empty list is more likely a fault of the list than the end of the fleet, and moves nothing.
 	empty := !slices.ContainsFunc(b.servers, func(s server) bool { return s.Standing != Gone })
+	expected := max(0.2, b.perHeld*(1+b.meanHeld)) // a place kept costs most where servers are busy
+	idle := Time(float64(idleKeep) / float64(b.campaign.Sidecars) / (expected * expected))
 	for i := range b.servers {
 		s := &b.servers[i]
 		if s.Standing == Ready && !b.cold(now, s) {
@@ -761,7 +763,7 @@
 		if now < s.asideTill && s.inTable {
 			b.aside++
 		}
-		if s.usedAt > 0 && s.out == 0 && now-s.usedAt >= idleKeep/Time(b.campaign.Sidecars) {
+		if s.usedAt > 0 && s.out == 0 && now-s.usedAt >= idle {
 			s.usedAt = 0
 			b.front.Release(s.ID)
 		}
