Date repeats back only where first tries come with the same time

Read in the code: with clients of unlike patience, a repeat with less time than another client's first try would be taken for old and turned back at once. The part of first tries with less time than the most is followed; over a tenth, nothing is inferred.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,6 +37,7 @@
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
 	heldBound, resized     = 1.5, 1.1               // times the mean held, walked past; change that moves slots
+	agreed                 = 0.1                    // part of first tries that may come with less time
 	listFresh              = 2 * Second             // age up to which a list is believed on load
 	idleKeep               = 10 * Second            // idle time of shared connections over all, at full load
 	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
@@ -47,7 +48,7 @@
 // New starts an instance.
 func New(front Front, c *Campaign, seed uint64, now Time) *Balancer {
 	b := &Balancer{front: front, campaign: c, chance: newChance(seed), places: map[ServerID]int32{},
-		usual: make([]float64, len(c.Offerings)), patience: make([]Time, len(c.Offerings)),
+		usual: make([]float64, len(c.Offerings)), patience: make([]patience, len(c.Offerings)),
 		use: make([]meter, len(c.Franchises)), pushes: pushesCap / 2, calm: 0.25, perHeld: 0.15, tooLate: paceLost,
 		pace: math.MaxInt32, nearPart: min(1, 2*splitWorth*c.CrossPrice), endAt: math.MaxInt64}
 	for i, o := range c.Offerings {
@@ -263,10 +264,14 @@
 		t.heat = b.heat(t.key)
 	}
 	t.value = b.worth(now, t, f, repeat)
-	// A repeat with another time than first tries have has what they left of the cut-off: it is so much older.
+	// Where first tries agree, a repeat with another time than theirs has what they left of the cut-off.
+	p, odd := &b.patience[o], 0.0
 	if of := &b.campaign.Offerings[o]; !repeat {
-		b.patience[o] = max(b.patience[o], left)
-	} else if of.LateCredit == 0 && max(left-b.patience[o], b.patience[o]-left) > b.margin() {
+		if p.most = max(p.most, left); p.most-left > b.margin() {
+			odd = 1
+		}
+		p.odd += 0.05 * (odd - p.odd)
+	} else if of.LateCredit == 0 && p.odd < agreed && max(left-p.most, p.most-left) > b.margin() {
 		if t.arrived -= max(0, of.CutOff-left); now > t.arrived+of.Quoted {
 			t.cutOff = now // too late to be worth anything: answered at once
 		}
--- a/policy/pool_test.go
+++ b/policy/pool_test.go
@@ -95,6 +95,14 @@
 		if len(w.to) != 1+c.pushed || w.back != 1-c.pushed {
 			t.Errorf("%+v: %d pushed, %d turned back", c, len(w.to)-1, w.back)
 		}
+		for n := range Time(20) { // clients unlike each other: a shorter time says nothing any more
+			w.ask(b, 4*Second, fmt.Sprint(n), false, (700+40*(n%3))*Millisecond)
+		}
+		back := w.back
+		b.pace, b.resumeAt = 100, 0
+		if w.ask(b, 5*Second, "c", true, 400*Millisecond); w.back > back {
+			t.Errorf("%+v: turned back for being unlike others", c)
+		}
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -60,6 +60,12 @@
 	next       func(*Balancer, *ticket, news)
 }
 
+// patience is the time that first tries come with.
+type patience struct {
+	most Time
+	odd  float64 // part of the latest that came with less
+}
+
 // Balancer is one instance of the module.
 type Balancer struct {
 	front      Front
@@ -77,11 +83,11 @@
 	ring       int // next slot for tickets without a key
 	slab       []ticket
 	free       []uint32
-	queue      []uint32  // places of waiting tickets, by worth, then age
-	calm       float64   // unloaded answer time over quoted time
-	usual      []float64 // mean answer time by offering, ns
-	patience   []Time    // most time that a first try came with, by offering
-	use        []meter   // arrivals by franchise
+	queue      []uint32   // places of waiting tickets, by worth, then age
+	calm       float64    // unloaded answer time over quoted time
+	usual      []float64  // mean answer time by offering, ns
+	patience   []patience // by offering
+	use        []meter    // arrivals by franchise
 	arrivals   meter
 	pushes     float64 // further pushes saved up
 	wakeAt     Time    // earliest call asked for; 0: none
