Let what is learned of held go on slowly in a jam

Read in the code: learning stopped while more was expected than the quoted time; learned too high under a list that stood still, it would have kept the pace at its least for good. A hundredth a list there now, with a test that fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -107,11 +107,14 @@
 	if b.meanHeld == 0 {
 		return
 	}
-	if expected := b.perHeld * (1 + b.meanHeld); expected < 1 {
-		b.perHeld += 0.05 * (max(b.late, b.calm)/(1+b.meanHeld) - b.perHeld)
-	} else if now-b.pacedAt > Second/4 {
-		b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, 1/expected))
+	expected, learn := b.perHeld*(1+b.meanHeld), 0.05
+	if expected >= 1 {
+		learn = 0.01 // a jam teaches little, but what was learned wrongly must not last
+		if now-b.pacedAt > Second/4 {
+			b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, 1/expected))
+		}
 	}
+	b.perHeld += learn * (max(b.late, b.calm)/(1+b.meanHeld) - b.perHeld)
 }
 
 // least is the pace at which all sidecars together have one push out at each server.
@@ -418,9 +421,7 @@
 	t.out--
 	b.out--
 	b.servers[p].out--
-	if b.campaign.Streams > 1 {
-		b.servers[p].usedAt = now
-	}
+	b.servers[p].usedAt = now
 	if o < CalledOff {
 		b.judge(now, t, p, o, spent)
 	}
@@ -768,7 +769,7 @@
 		if now < s.asideTill && s.inTable {
 			b.aside++
 		}
-		if s.usedAt > 0 && s.out == 0 && now-s.usedAt >= idle {
+		if b.campaign.Streams > 1 && s.usedAt > 0 && s.out == 0 && now-s.usedAt >= idle {
 			s.usedAt = 0
 			b.front.Release(s.ID)
 		}
--- a/policy/pool_test.go
+++ b/policy/pool_test.go
@@ -132,10 +132,18 @@
 	if b.pace != 0.1 {
 		t.Errorf("pace %v at last", b.pace)
 	}
+	// What was learned wrongly, under a list that stood still, does not keep the pace down for ever.
+	b.perHeld, b.late = 2, 0.3
+	for n := range Time(300) {
+		b.List((30+n/4)*Second, ListChanges, loaded(map[int]float64{0: 1}))
+	}
+	if b.perHeld > 0.9 {
+		t.Errorf("%v expected for each ticket held after 300 lists", b.perHeld)
+	}
 	// One push in ten seconds, long in time: it says more than what was late before it.
 	b.late, b.pace = 1, 0.1
 	for n := range Time(6) {
-		at := (100 + 10*n) * Second
+		at := (200 + 10*n) * Second
 		b.List(at, ListChanges, loaded(map[int]float64{0: 0.1}))
 		h := w.ask(b, at, fmt.Sprint(n), false, 2*Second)
 		b.PushEnded(at+100*Millisecond, h, 0, w.to[len(w.to)-1], Honoured, 100*Millisecond, true)
