--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,7 +63,15 @@
 // Parse takes orders from the text of such a file.
 func Parse(path string, b []byte, env func(string) string) (Orders, error) {
 	if bytes.HasPrefix(bytes.TrimSpace(b), []byte("{")) {
-		return platform(path, b, env)
+		lines, err := Lines(path, b)
+		if err != nil {
+			return Orders{}, err
+		}
+		o, err := platform(path, b, env)
+		if err != nil {
+			return o, placed(path, err, lines)
+		}
+		return o, nil
 	}
 	return product(path, b)
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -63,8 +63,9 @@
 		{`"max_pushes":3`, `"max_pushes":3,"streams_per_conn":0`}, {"0.13", `"much"`},
 		{`"quoted_time_s":1.5`, `"quoted_time_s":-1`}, {`"offerings":[`, `"offers":[`}, {"0.2,", "{},"}, {`"conn_idle_s":60.0`, `"x":1`}} {
 		text := strings.Replace(told, change[0], change[1], 1)
-		_, err := Read(write(t, text), none)
-		if text == told || err == nil || strings.Contains(err.Error(), "\n") {
+		path := write(t, text)
+		_, err := Read(path, none)
+		if text == told || err == nil || !strings.HasPrefix(err.Error(), path+":") || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%q for %q: %v", change[1], change[0], err)
 		}
 	}
