One piece for what the list lets expect and for the bound; no chance drawn where none is needed

The walk drew a chance for each server that it looked at, at every site, though only one over its bound can be passed: work on the ordinary path, and another stream of chance where lists show no load. The bound (walk, pace) and the expected lateness (brake, pace, idle connections) were each written out two or three times. The emulator's cut-off stood twice in an offering.

--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -108,7 +108,6 @@
 // Offering is a kind of request.
 type Offering struct {
 	policy.Offering
-	CutOff policy.Time
 	Share  float64     // of the requests
 	Work   policy.Time // mean, of a core at speed 1
 	IO     policy.Time // mean
@@ -338,7 +337,6 @@
 		if o.CutOff = t.Span("cut_off", o.Quoted, policy.Millisecond, day); o.CutOff < o.Quoted {
 			t.Fault("cut_off", t.Found("cut_off"), "at least the quoted time")
 		}
-		o.Offering.CutOff = o.CutOff // the module's copy
 		if o.Repeats == policy.Numbered {
 			t.Require("window")
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,13 +25,11 @@
 	spillMargin           = 2                       // free places, or fewer pushes, that a spill must find
 	roomy, crowded        = 0.15, 0.45              // load under which more may go out, and over which less must
 	paceLate, paceLost    = 0.75, 0.5               // mean lateness at which it is cut; where late earns nothing
-	paceGrowth            = 0.5                     // growth at no lateness
 	paceSpare, paceFree   = 4, 16                   // times what is out, or pushes at each server, left to it
-	heatPrior             = 64                      // tickets taken to have come before, under other keys
-	sureBeyond            = 2                       // standard errors by which our count must be over a share
+	heatPrior, sureBeyond = 64, 2                   // tickets under other keys before; errors over a share
 	shortOfHit            = 0.25                    // a cold server remembers no keys: four times the work
 	repeatValue, waitPart = 0.5, 0.5                // worth of a client's repeat; what may wait of home's rate
-	firstWait             = 2.0                     // part of the quoted time that a first push may take
+	paceGrowth, firstWait = 0.5, 2.0                // growth at no lateness; quoted times for a first push
 	pushCredit, pushesCap = 0.1, 20                 // further pushes earned by each honoured, saved at most
 	splitWorth, placeLost = 5, 0.5                  // load at which crossings pay; limit for a lone time-out
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
@@ -107,7 +105,7 @@
 	if b.meanHeld == 0 {
 		return
 	}
-	expected, learn := b.perHeld*(1+b.meanHeld), 0.05
+	expected, learn := b.expected(), 0.05
 	if expected >= 1 {
 		learn = 0.01 // a jam teaches little, but what was learned wrongly must not last
 		if now-b.pacedAt > Second/4 {
@@ -117,6 +115,8 @@
 	b.perHeld += learn * (max(b.late, b.calm)/(1+b.meanHeld) - b.perHeld)
 }
 
+func (b *Balancer) expected() float64 { return b.perHeld * (1 + b.meanHeld) }
+
 // least is the pace at which all sidecars together have one push out at each server.
 func (b *Balancer) least() float64 { return float64(len(b.byID)) / float64(b.campaign.Sidecars) }
 
@@ -599,10 +599,12 @@
 // over tells whether a ticket walks past a server that holds more than the bound for its size. The part that
 // does grows with the excess, so that hundreds of sidecars with one late list do not all leave it at once.
 func (b *Balancer) over(s *server) bool {
-	takes := heldBound * (1 + b.meanHeld) / (1 + s.held)
-	return b.chance.part() > takes*takes
+	takes := b.takes(s)
+	return takes < 1 && b.chance.part() > takes*takes
 }
 
+func (b *Balancer) takes(s *server) float64 { return heldBound * (1 + b.meanHeld) / (1 + s.held) }
+
 func (b *Balancer) cold(now Time, s *server) bool {
 	return s.Started > 0 && now < s.Started+b.campaign.ColdTime
 }
@@ -690,7 +692,7 @@
 		side = &b.sides[1]
 	}
 	*side += 0.05 * (late - *side)
-	if 1+s.held > heldBound*(1+b.meanHeld) {
+	if b.takes(s) < 1 {
 		return // its own trouble, and no reason to send less to the others
 	}
 	// What was late is forgotten with time too: held down to a push in two seconds, ten of them outlast any jam.
@@ -699,7 +701,7 @@
 	b.inUse += 0.1 * (float64(b.out+1) - b.inUse)
 	mean := b.late
 	if b.meanHeld > 0 && now-b.listAt < listFresh {
-		mean = min(mean, b.perHeld*(1+b.meanHeld)) // a few late ones mean nothing while little is held
+		mean = min(mean, b.expected()) // a few late ones mean nothing while little is held
 	}
 	if mean > b.tooLate && now-b.pacedAt > quoted/2 {
 		b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, b.tooLate/mean))
@@ -758,7 +760,7 @@
 	b.aside = 0
 	// An empty list is more likely a fault of the list than the end of the fleet, and moves nothing.
 	empty := !slices.ContainsFunc(b.servers, func(s server) bool { return s.Standing != Gone })
-	expected := max(0.2, b.perHeld*(1+b.meanHeld)) // a place kept costs most where servers are busy
+	expected := max(0.2, b.expected()) // a place kept costs most where servers are busy
 	idle := Time(float64(idleKeep) / float64(b.campaign.Sidecars) / (expected * expected))
 	for i := range b.servers {
 		s := &b.servers[i]
