Let no ticket wait until its client has no time left, nor judge servers by such pushes

So what waited went out with nothing left, timed out, counted as one late answer for the pace (regulate) and as a failure (bad): '1 failures in a row, last 3', servers aside for 12 to 16 s. The pace fell from 10 to 1.1 pushes, and more waited. Ruled out: full servers (no push turned away), slow answers (few between 1.5 s and the time-out), connections.

Change: waitTill leaves the time that answers take, also under the client's cut-off; a time-out sooner than that is no sign of the server.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,6 @@
 // Package policy decides where tickets go and what becomes of them. New starts an instance; List, ListFailed,
-// Admit then Begin, PushEnded, Until, ClientLeft, Leave and Woken tell it what happened. It answers
-// through the Front given to New, within the call. Interface, ids and what is read at start: types.go;
-// reasons: docs/design.md. One goroutine uses an instance, which shares nothing.
+// Admit then Begin, PushEnded, Until, ClientLeft, Leave and Woken tell it what happened. It answers through its
+// Front, within the call. Ids: types.go; reasons: docs/design.md. One goroutine uses it; it shares nothing.
 package policy
 
 import (
@@ -330,8 +329,9 @@
 // Begin decides the first step of a ticket.
 func (b *Balancer) Begin(now Time, h Handle) {
 	t := b.held(h)
-	slack := b.campaign.Offerings[t.offering].Quoted - Time(b.usual[t.offering])
-	t.waitTill = min(t.arrived+slack, t.cutOff-b.margin())
+	// A client may have less patience than the quoted time: what has waited must have left what an answer takes.
+	till := min(t.arrived+b.campaign.Offerings[t.offering].Quoted, t.cutOff-b.margin())
+	t.waitTill = till - Time(b.usual[t.offering])
 	b.place(now, t, false)
 }
 
@@ -390,8 +390,7 @@
 func (b *Balancer) called(t *ticket, n news) { b.push(n.now, t, n.server) }
 
 func (b *Balancer) push(now Time, t *ticket, to int32) {
-	s := &b.servers[to]
-	o := &b.campaign.Offerings[t.offering]
+	s, o := &b.servers[to], &b.campaign.Offerings[t.offering]
 	wait := t.cutOff - b.margin() - now
 	// A silent server must not hold a ticket for long; saved pushes keep time-outs from feeding an overload.
 	if t.pushes+1 < b.campaign.MaxPushes && b.pushes >= 1 && o.Repeats != AtMostOnce {
@@ -571,11 +570,10 @@
 
 // allowed keeps the second rule, and sends no ticket twice to one server.
 func (b *Balancer) allowed(now Time, t *ticket, p int32) bool {
-	s := &b.servers[p]
+	s, o := &b.servers[p], &b.campaign.Offerings[t.offering]
 	if s.Standing != Ready {
 		return false
 	}
-	o := &b.campaign.Offerings[t.offering]
 	if t.mayHaveRun && o.Repeats != Reissuable {
 		ran := &b.servers[t.ranOn]
 		if o.Repeats == AtMostOnce || now+b.margin() >= t.ranAt+o.Window ||
@@ -646,6 +644,9 @@
 func (b *Balancer) judge(now Time, t *ticket, p int32, o Outcome, spent Time) {
 	s, quoted := &b.servers[p], b.campaign.Offerings[t.offering].Quoted
 	part := float64(spent) / float64(quoted)
+	if o == TimedOut && spent < Time(b.usual[t.offering]) {
+		return // its client left less time than answers take, which is no sign of the server
+	}
 	if o != Honoured {
 		// Errors and lost connections are no sign of load, nor a time-out while a later push was honoured and load
 		// is low: one connection is silent. What turns away, yet answers in time, leaves before the list knows.
@@ -755,9 +756,8 @@
 	if now < b.tendAt {
 		return
 	}
-	b.tendAt = now + tendEvery
 	warm := 0.0
-	b.aside = 0
+	b.tendAt, b.aside = now+tendEvery, 0
 	// An empty list is more likely a fault of the list than the end of the fleet, and moves nothing.
 	empty := !slices.ContainsFunc(b.servers, func(s server) bool { return s.Standing != Gone })
 	expected := max(0.2, b.expected()) // a place kept costs most where servers are busy
