--- a/cmd/pepperlead/main_test.go
+++ b/cmd/pepperlead/main_test.go
@@ -199,3 +199,44 @@
 		}
 	}
 }
+
+// No folder to meet others in, as where $TMPDIR is missing or may not be written: one line in the log, and it serves.
+func TestServesWithoutAFolder(t *testing.T) {
+	dir := t.TempDir()
+	program, config, l := filepath.Join(dir, "pepperlead"), filepath.Join(dir, "alone.toml"), [2]string{}
+	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v %s", err, built)
+	}
+	for i := range l {
+		at, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l[i] = at.Addr().String()
+		at.Close()
+	}
+	text := "[front.http]\nlisten = \"" + l[0] + "\"\n[admin]\nlisten = \"" + l[1] + "\"\n[[offering]]\nname = \"step\"\n" +
+		"quoted_time = \"1s\"\ncut_off = \"2s\"\nrepeats = \"reissuable\"\n[source]\nkind = \"fixed\"\n" +
+		"[[source.server]]\nid = \"a\"\naddress = \"127.0.0.1:1\"\n"
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, tmp := range []string{"TMPDIR=" + config, "TMPDIR=/nowhere/at/all", "TMPDIR=/proc"} {
+		var log bytes.Buffer
+		c := exec.Command(program, "serve", "--config", config)
+		c.Env, c.Stderr = append(os.Environ(), tmp), &log
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		ready := false
+		for end := time.Now().Add(5 * time.Second); !ready && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			var out bytes.Buffer
+			ready = run([]string{"call", "--at", l[1], "ready"}, &out) == nil && strings.HasPrefix(out.String(), "OK")
+		}
+		c.Process.Signal(syscall.SIGTERM)
+		if err := c.Wait(); err != nil || !ready || strings.Count(log.String(), "handover: left out") != 1 ||
+			strings.Count(log.String(), "level=error") != 1 {
+			t.Errorf("%s: %v, ready %v, %s", tmp, err, ready, log.String())
+		}
+	}
+}
