--- /dev/null
+++ b/internal/agreement/lease.go
@@ -0,0 +1,201 @@
+package agreement
+
+import (
+	"slices"
+
+	"pepperlead/policy"
+)
+
+// Number is a version's place in the agreed order, from 1.
+type Number uint64
+
+// Term counts who grants: a granter of an older term is not listened to.
+type Term uint64
+
+// Version is a whole: its number, what it is known by, and what binds of it.
+type Version struct {
+	Number Number
+	Digest [32]byte
+	Rules  Rules
+}
+
+// Grant lets a sidecar act by the strictest of some versions for a span. It is asked for: the span counts from the asking, on the
+// asker's own clock, so that neither clocks that differ nor slow links make it longer.
+type Grant struct {
+	Term Term
+	Ask  uint64   // number of the question that it answers
+	Of   []Number // versions that may be in force: one, or two while a change is under way; in order
+	For  policy.Time
+}
+
+// Holder is one sidecar's part.
+type Holder struct {
+	known  []Version // in order of number
+	term   Term
+	of     []Number
+	till   policy.Time // own clock; what is decided later than that goes by the floor
+	asked  uint64
+	sentAt policy.Time
+	acts   Rules // by what is granted
+	floor  Rules
+}
+
+// NewHolder is a sidecar that knows nothing yet. life tells its lives apart: an answer to a question of an earlier one must not count.
+func NewHolder(life uint32) *Holder { return &Holder{asked: uint64(life) << 32} }
+
+// keptVersions is how many versions a sidecar remembers: those in force, and what may still be asked about.
+const keptVersions = 4
+
+// Learn takes a version in. False where its number is known with another digest, which it is then left with, or is older than what
+// is granted.
+func (h *Holder) Learn(v Version) bool {
+	i, known := h.at(v.Number)
+	if known {
+		return h.known[i].Digest == v.Digest
+	}
+	if len(h.of) > 0 && v.Number < h.of[0] {
+		return false
+	}
+	h.known = slices.Insert(h.known, i, v)
+	if len(h.known) > keptVersions {
+		h.known = h.known[1:]
+	}
+	h.settle()
+	return true
+}
+
+func (h *Holder) at(n Number) (int, bool) {
+	return slices.BinarySearchFunc(h.known, n, func(v Version, n Number) int {
+		if v.Number < n {
+			return -1
+		}
+		return min(1, int(v.Number-n))
+	})
+}
+
+// Ask numbers a question for a grant, sent now. Knows tells the granter what this sidecar could act by.
+func (h *Holder) Ask(now policy.Time) (ask uint64, knows []Number) {
+	h.asked++
+	h.sentAt = now
+	for _, v := range h.known {
+		knows = append(knows, v.Number)
+	}
+	return h.asked, knows
+}
+
+// Granted takes an answer. Only the one to the latest question counts: an older one says what was in force before it.
+func (h *Holder) Granted(g Grant) bool {
+	if g.Ask != h.asked || g.Term < h.term || len(g.Of) == 0 || len(h.of) > 0 && g.Of[0] < h.of[0] {
+		return false
+	}
+	for _, n := range g.Of {
+		if _, known := h.at(n); !known {
+			return false // it could not act by it
+		}
+	}
+	h.term, h.of, h.till = g.Term, slices.Clone(g.Of), h.sentAt+g.For
+	h.settle()
+	return true
+}
+
+// settle works out what may be done, so that looking it up for a ticket costs nothing.
+func (h *Holder) settle() {
+	first := true
+	for _, v := range h.known {
+		if slices.Contains(h.of, v.Number) {
+			if first {
+				h.acts, first = v.Rules, false
+			} else {
+				h.acts = Strictest(h.acts, v.Rules)
+			}
+		}
+	}
+	h.floor = Rules{}
+	for i, v := range h.known {
+		if i == 0 {
+			h.floor = v.Rules
+		} else {
+			h.floor = Strictest(h.floor, v.Rules)
+		}
+	}
+	h.floor = h.floor.Floor()
+}
+
+// Acts are the rules of this moment. leased is false once the lease has run out: then it is the strictest of all that is known, without
+// what a version that has not been heard of could forbid. It is to be called after a decision and before what it leads to is
+// written, in one turn of the loop, as a process may have stood still in between.
+func (h *Holder) Acts(now policy.Time) (r *Rules, leased bool) {
+	if len(h.of) > 0 && now < h.till {
+		return &h.acts, true
+	}
+	return &h.floor, false
+}
+
+// InForce are the versions that the latest grant named.
+func (h *Holder) InForce() []Number { return h.of }
+
+// Granter is the part of the one that grants in its term: the leader of the group that agrees on the order of versions.
+//
+// A change has two steps. Once version n+1 is agreed, grants are of n and n+1: whoever holds one acts by what both allow. Only when no
+// grant of n alone can hold any more, by the granter's clock and the drift allowed, are grants of n+1 alone given. So none acts by what
+// n alone allows while another acts by what n+1 alone does.
+type Granter struct {
+	term     Term
+	span     policy.Time // of a grant
+	drift    float64     // how much faster or slower any two clocks may run
+	old, new Number      // equal where no change is under way
+	alone    policy.Time // until when, by this clock, a grant of old alone may hold
+	sure     policy.Time // the group has confirmed this term in a round that began then
+}
+
+// NewGranter begins a term. What the term before it has granted is not known, so nothing is given alone until that must be over: now is the
+// moment of the begin, old and next what the agreed order says is in force and under way (equal: none).
+func NewGranter(term Term, span policy.Time, drift float64, old, next Number, now policy.Time) *Granter {
+	g := &Granter{term: term, span: span, drift: drift, old: old, new: next, sure: -1}
+	g.alone = now + g.longest()
+	return g
+}
+
+// longest is how long a grant may hold by the granter's clock, from its giving: the asker counts from its asking, which is earlier, but
+// its clock may be slow.
+func (g *Granter) longest() policy.Time {
+	return policy.Time(float64(g.span)*(1+g.drift)) + 1
+}
+
+// Propose begins a change to the version that follows. False while one is under way.
+func (g *Granter) Propose(n Number, now policy.Time) bool {
+	if g.old != g.new || n != g.new+1 {
+		return false
+	}
+	g.new = n
+	g.alone = max(g.alone, now+g.longest())
+	return true
+}
+
+// Ready tells whether the old version may be dropped; the group then agrees that it is, and tells Dropped.
+func (g *Granter) Ready(now policy.Time) bool { return g.old != g.new && now >= g.alone }
+
+// Dropped ends a change.
+func (g *Granter) Dropped() { g.old = g.new }
+
+// Confirmed is told that a round of the group, begun at that moment, found this term still to be the latest.
+func (g *Granter) Confirmed(begun policy.Time) { g.sure = max(g.sure, begun) }
+
+// Grant answers a question that came at that moment. None is given before a round begun since has confirmed the term: else a leader that
+// is cut off would go on granting what a later one has changed. Nor is one given to a sidecar that lacks a version: it is to be sent
+// it, and to ask again.
+func (g *Granter) Grant(ask uint64, knows []Number, came policy.Time) (Grant, bool) {
+	if g.sure < came {
+		return Grant{}, false
+	}
+	of := []Number{g.old}
+	if g.new != g.old {
+		of = append(of, g.new)
+	}
+	for _, n := range of {
+		if !slices.Contains(knows, n) {
+			return Grant{}, false
+		}
+	}
+	return Grant{Term: g.term, Ask: ask, Of: of, For: g.span}, true
+}
--- /dev/null
+++ b/internal/agreement/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package agreement
+
+const raced = false
--- /dev/null
+++ b/internal/agreement/rules.go
@@ -0,0 +1,174 @@
+// Package agreement decides by which rules a sidecar may act while versions of them change and links break: what the strictest of
+// several versions is, how long a lease on a version holds, and when the next one may come into force. No I/O, no clock, no goroutine:
+// moments are handed in. Why it is so: docs/agreement.md.
+package agreement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"pepperlead/policy"
+)
+
+// Offering is what binds of one offering. The zero value is the strictest: at-most-once.
+type Offering struct {
+	Repeats bool // it may run twice, within what follows
+	Zone    bool // only within the zone of the server that may have run it first
+	Cell    bool // only within its pod
+	Window  policy.Time
+	CutOff  policy.Time // longest; 0: none is stated
+}
+
+// Server is one that may be pushed to.
+type Server struct {
+	ID      policy.ServerID
+	Started policy.Time
+}
+
+// Franchise is a tenant's quota, in tickets a second over all sidecars.
+type Franchise struct {
+	Name  string
+	Quota float64
+}
+
+// Rules are what binds of a version. Offerings, franchises and servers are in the order of their names, each once.
+type Rules struct {
+	Offerings  []Named
+	Franchises []Franchise
+	Servers    []Server // ready ones; Open: any that a list names
+	Open       bool     // the version says nothing of servers
+	Instances  int      // sidecars among which budgets are split
+	ColdShare  float64  // part of its work that a cold server can do
+	ColdTime   policy.Time
+	Fall       float64 // times what it can do that make a cold server fall over; 0: it gets nothing
+}
+
+// Named is an offering under its name.
+type Named struct {
+	Name string
+	Offering
+}
+
+// Reissuable allows everything.
+func Reissuable(cutOff policy.Time) Offering {
+	return Offering{Repeats: true, Window: math.MaxInt64, CutOff: cutOff}
+}
+
+// Floor is what may be done under any version at all: no repeat once a push may have run, nothing to a cold server. It is what is left to
+// a sidecar that cannot know which version is in force.
+func (r Rules) Floor() Rules {
+	f := r
+	f.Fall = 0
+	f.Offerings = slices.Clone(r.Offerings)
+	for i := range f.Offerings {
+		f.Offerings[i].Offering = Offering{CutOff: r.Offerings[i].CutOff}
+	}
+	return f
+}
+
+// strict is what both allow of an offering.
+func strict(a, b Offering) Offering {
+	o := Offering{CutOff: shorter(a.CutOff, b.CutOff)}
+	if a.Repeats && b.Repeats {
+		o.Repeats, o.Zone, o.Cell, o.Window = true, a.Zone || b.Zone, a.Cell || b.Cell, min(a.Window, b.Window)
+	}
+	return o
+}
+
+// shorter takes 0 for a span without end.
+func shorter(a, b policy.Time) policy.Time {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// Strictest is what both versions allow. It is commutative, associative and idempotent. An offering that one of them does not know is
+// at-most-once by the other; a franchise keeps the quota of the one that knows it.
+func Strictest(a, b Rules) Rules {
+	r := Rules{Instances: max(a.Instances, b.Instances), ColdShare: min(a.ColdShare, b.ColdShare), ColdTime: max(a.ColdTime, b.ColdTime),
+		Fall: min(a.Fall, b.Fall), Open: a.Open && b.Open}
+	r.Offerings = merge(a.Offerings, b.Offerings, func(x, y Named) int { return cmp.Compare(x.Name, y.Name) }, func(x, y *Named) (Named, bool) {
+		switch {
+		case x == nil:
+			return Named{y.Name, Offering{CutOff: y.CutOff}}, true
+		case y == nil:
+			return Named{x.Name, Offering{CutOff: x.CutOff}}, true
+		}
+		return Named{x.Name, strict(x.Offering, y.Offering)}, true
+	})
+	r.Franchises = merge(a.Franchises, b.Franchises, func(x, y Franchise) int { return cmp.Compare(x.Name, y.Name) },
+		func(x, y *Franchise) (Franchise, bool) {
+			switch {
+			case x == nil:
+				return *y, true
+			case y == nil:
+				return *x, true
+			}
+			return Franchise{x.Name, min(x.Quota, y.Quota)}, true
+		})
+	r.Servers = merge(a.Servers, b.Servers, func(x, y Server) int { return cmp.Compare(x.ID, y.ID) }, func(x, y *Server) (Server, bool) {
+		switch {
+		case x == nil:
+			return *y, a.Open
+		case y == nil:
+			return *x, b.Open
+		}
+		return Server{x.ID, max(x.Started, y.Started)}, true
+	})
+	return r
+}
+
+// merge walks two sorted lists side by side. one is given what stands under the same name on either side, nil where there is none.
+func merge[T any](a, b []T, order func(x, y T) int, one func(x, y *T) (T, bool)) (all []T) {
+	for len(a) > 0 || len(b) > 0 {
+		var x, y *T
+		if len(b) == 0 || len(a) > 0 && order(a[0], b[0]) <= 0 {
+			x = &a[0]
+		}
+		if len(a) == 0 || len(b) > 0 && order(b[0], a[0]) <= 0 {
+			y = &b[0]
+		}
+		if x != nil {
+			a = a[1:]
+		}
+		if y != nil {
+			b = b[1:]
+		}
+		if t, kept := one(x, y); kept {
+			all = append(all, t)
+		}
+	}
+	return all
+}
+
+// Allows tells whether all that other allows is allowed here too: nothing that r forbids.
+func (r Rules) Allows(other Rules) bool {
+	for _, o := range other.Offerings {
+		i, known := slices.BinarySearchFunc(r.Offerings, o.Name, func(n Named, name string) int { return cmp.Compare(n.Name, name) })
+		if !known {
+			if o.Repeats {
+				return false
+			}
+			continue
+		}
+		if strict(r.Offerings[i].Offering, o.Offering) != o.Offering {
+			return false
+		}
+	}
+	for _, f := range r.Franchises {
+		i := slices.IndexFunc(other.Franchises, func(g Franchise) bool { return g.Name == f.Name })
+		if i < 0 || other.Franchises[i].Quota > f.Quota {
+			return false
+		}
+	}
+	for _, s := range other.Servers {
+		i := slices.IndexFunc(r.Servers, func(mine Server) bool { return mine.ID == s.ID })
+		if i < 0 && !r.Open || i >= 0 && s.Started < r.Servers[i].Started {
+			return false
+		}
+	}
+	return (r.Open || !other.Open) && other.Instances >= r.Instances && other.ColdShare <= r.ColdShare && other.ColdTime >= r.ColdTime &&
+		other.Fall <= r.Fall
+}
