--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,329 @@
+// Package peers knows which sidecars of one cluster are there. Finding each other and noticing who is gone is memberlist's (a SWIM with
+// Lifeguard's awareness of the own health); here stand what it is told, what it may cost, who is sought again after a parted network has
+// healed, and what the rest of the sidecar asks. Nothing is decided on it but a count that can only make bounds stricter. Off unless
+// configured. docs/peers.md.
+package peers
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/base64"
+	"fmt"
+	"log"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/memberlist"
+	"github.com/sirupsen/logrus"
+)
+
+// Post is what a sidecar is told of its peers.
+type Post struct {
+	Name      string // in the cluster, of this one alone
+	Cluster   string // packets of others are dropped
+	Listen    string // TCP and UDP
+	Advertise string // where others reach it; "": Listen
+	Join      []string
+	Key       []byte // 16, 24 or 32 bytes; every packet is sealed with it
+	Zone      string
+
+	tune func(*memberlist.Config) // tests have less time
+}
+
+// Says is what each sidecar tells all others of itself.
+type Says struct {
+	Zone    string `cbor:"1,keyasint"`
+	Since   int64  `cbor:"2,keyasint"` // Unix time of its start, in nanoseconds
+	Version uint64 `cbor:"3,keyasint"` // of the rules in force; 0: its own file's
+	Table   uint64 `cbor:"4,keyasint"` // digest of its slot table
+}
+
+// Peer is one sidecar as this one knows it.
+type Peer struct {
+	Says
+	Name, Address string
+	Alive         bool
+	Heard         time.Time // latest word of it: joined, changed, or answered a probe of this one
+}
+
+const (
+	// Descriptors that the sockets take, and the few connections that are open at once for whole states.
+	Descriptors = 12
+
+	seekEvery = 3 * time.Second  // between two tries to meet one that is not there
+	forgetIn  = 10 * time.Minute // one that is gone is sought for so long
+	leaveIn   = 200 * time.Millisecond
+	keyFile   = 1 << 10
+)
+
+// Company is this sidecar among its peers.
+type Company struct {
+	post  Post
+	list  *memberlist.Memberlist
+	wire  *wire
+	log   *logrus.Logger
+	stop  chan struct{}
+	ended sync.WaitGroup
+
+	mu    sync.Mutex
+	says  Says
+	peers map[string]*Peer // by name, also such that have gone
+	next  int              // whom to seek next
+	joins uint64
+	gone  uint64
+}
+
+// ReadKey takes a key from a file: base64 of 16, 24 or 32 bytes.
+func ReadKey(path string) ([]byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	key, err := base64.StdEncoding.DecodeString(string(bytes.TrimSpace(text)))
+	if len(text) > keyFile || err != nil || len(key) != 16 && len(key) != 24 && len(key) != 32 {
+		return nil, fmt.Errorf("%s: found no key, allowed base64 of 16, 24 or 32 bytes", path)
+	}
+	return key, nil
+}
+
+// Open listens, and seeks those that are to be joined from then on. It waits for none of them.
+func Open(p Post, log *logrus.Logger) (*Company, error) {
+	c := &Company{post: p, log: log, stop: make(chan struct{}), peers: map[string]*Peer{}, says: Says{Zone: p.Zone, Since: time.Now().UnixNano()}}
+	conf := memberlist.DefaultLANConfig()
+	conf.Name, conf.Label, conf.SecretKey = p.Name, p.Cluster, p.Key
+	conf.Logger = quiet(log)
+	conf.Delegate, conf.Events, conf.Ping, conf.Conflict = c, c, c, c
+	conf.EnableCompression = false // what is told is short, and a core is not ours alone
+	var err error
+	if conf.BindAddr, conf.BindPort, err = split(p.Listen); err != nil {
+		return nil, err
+	}
+	if conf.AdvertiseAddr, conf.AdvertisePort, err = split(cmp.Or(p.Advertise, p.Listen)); err != nil {
+		return nil, err
+	}
+	net, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{conf.BindAddr}, BindPort: conf.BindPort, Logger: conf.Logger})
+	if err != nil {
+		return nil, err
+	}
+	c.wire = &wire{NetTransport: net, own: conf.BindAddr}
+	conf.Transport = c.wire
+	if p.tune != nil {
+		p.tune(conf)
+	}
+	if c.list, err = memberlist.Create(conf); err != nil {
+		net.Shutdown()
+		return nil, err
+	}
+	c.ended.Go(c.seek)
+	return c, nil
+}
+
+func split(at string) (string, int, error) {
+	host, port, err := net.SplitHostPort(at)
+	if err != nil {
+		return "", 0, err
+	}
+	n, err := strconv.Atoi(port)
+	return host, n, err
+}
+
+// seek tries to meet those that are to be joined and those that were there before, one at a time. memberlist alone gives up on the dead
+// after half a minute, so two sides of a network that was parted for longer would stay apart for ever.
+func (c *Company) seek() {
+	for wait := time.Duration(0); ; wait = seekEvery/2 + rand.N(seekEvery) {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(wait):
+		}
+		if at := c.missing(time.Now()); at != "" {
+			c.list.Join([]string{at}) // whether it worked shows by who is there
+		}
+	}
+}
+
+// missing is the next address at which nobody is known to be there.
+func (c *Company) missing(now time.Time) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own := cmp.Or(c.post.Advertise, c.post.Listen)
+	wanted, there := slices.Clone(c.post.Join), map[string]bool{own: true}
+	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
+		switch p := c.peers[name]; {
+		case p.Alive:
+			there[p.Address] = true
+		case now.Sub(p.Heard) > forgetIn:
+			delete(c.peers, name)
+		default:
+			wanted = append(wanted, p.Address)
+		}
+	}
+	wanted = slices.DeleteFunc(wanted, func(at string) bool { return there[at] })
+	if len(wanted) == 0 {
+		return ""
+	}
+	c.next++
+	return wanted[c.next%len(wanted)]
+}
+
+// Say changes what is told of this sidecar, if it is different.
+func (c *Company) Say(version, table uint64) {
+	c.mu.Lock()
+	changed := c.says.Version != version || c.says.Table != table
+	c.says.Version, c.says.Table = version, table
+	c.mu.Unlock()
+	if changed {
+		c.list.UpdateNode(0) // told as it spreads, waited for by nobody
+	}
+}
+
+// Alive is how many sidecars are there, this one among them.
+func (c *Company) Alive() int { return c.list.NumMembers() }
+
+// All are the sidecars known, this one too, by name; those that have gone for a while longer.
+func (c *Company) All() (all []Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
+		all = append(all, *c.peers[name])
+	}
+	return all
+}
+
+// Report is the peers, one a line.
+func (c *Company) Report() string {
+	var b strings.Builder
+	now := time.Now()
+	for _, p := range c.All() {
+		state := "alive"
+		if !p.Alive {
+			state = "gone"
+		}
+		heard := now.Sub(p.Heard)
+		if p.Name == c.post.Name {
+			heard = 0
+		}
+		fmt.Fprintf(&b, "%s %s zone=%q %s up=%.0fs heard=%.0fs version=%d table=%016x\n", p.Name, p.Address, p.Zone, state,
+			now.Sub(time.Unix(0, p.Since)).Seconds(), heard.Seconds(), p.Version, p.Table)
+	}
+	return b.String()
+}
+
+// Figures hands over what this costs and knows.
+func (c *Company) Figures(each func(name string, value float64, rises bool)) {
+	c.mu.Lock()
+	known, joins, gone, tables := len(c.peers), c.joins, c.gone, map[uint64]bool{}
+	for _, p := range c.peers {
+		if p.Alive {
+			tables[p.Table] = true
+		}
+	}
+	c.mu.Unlock()
+	each("peers_alive", float64(c.Alive()), false)
+	each("peers_known", float64(known), false)
+	each("peers_tables", float64(len(tables)), false)
+	each("peers_own_health", float64(c.list.GetHealthScore()), false)
+	each("peers_joined", float64(joins), true)
+	each("peers_gone", float64(gone), true)
+	each("peers_packets_sent", float64(c.wire.packets.Load()), true)
+	each("peers_bytes_sent", float64(c.wire.bytes.Load()), true)
+}
+
+// Close leaves, so that the others need not find out, and ends.
+func (c *Company) Close() {
+	close(c.stop)
+	c.list.Leave(leaveIn)
+	c.list.Shutdown()
+	c.ended.Wait()
+}
+
+// ---- what memberlist calls ----
+
+// NodeMeta is what is told of this sidecar.
+func (c *Company) NodeMeta(limit int) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, err := cbor.Marshal(c.says)
+	if err != nil || len(b) > limit {
+		return nil
+	}
+	return b
+}
+
+// NotifyJoin is told of one that is there.
+func (c *Company) NotifyJoin(n *memberlist.Node) { c.heard(n, true, true) }
+
+// NotifyUpdate is told of one that says something else now.
+func (c *Company) NotifyUpdate(n *memberlist.Node) { c.heard(n, true, false) }
+
+// NotifyLeave is told of one that is gone.
+func (c *Company) NotifyLeave(n *memberlist.Node) { c.heard(n, false, true) }
+
+func (c *Company) heard(n *memberlist.Node, alive, moved bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[n.Name]
+	if p == nil {
+		p = &Peer{Name: n.Name}
+		c.peers[n.Name] = p
+	}
+	var says Says
+	if cbor.Unmarshal(n.Meta, &says) == nil { // else of a newer kind: it is there all the same
+		p.Says = says
+	}
+	p.Address, p.Alive, p.Heard = n.Address(), alive, time.Now()
+	if !moved || n.Name == c.post.Name {
+		return
+	}
+	there := 0
+	for _, p := range c.peers {
+		if p.Alive {
+			there++
+		}
+	}
+	if alive {
+		c.joins++
+		c.log.Infof("peers: %s joined, %d there", n.Name, there)
+	} else {
+		c.gone++
+		c.log.Infof("peers: %s gone, %d there", n.Name, there)
+	}
+}
+
+// NotifyPingComplete is told of one that has answered.
+func (c *Company) NotifyPingComplete(n *memberlist.Node, _ time.Duration, _ []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[n.Name]; p != nil {
+		p.Heard = time.Now()
+	}
+}
+
+// NotifyConflict is told of two under one name: the one that was there first stays.
+func (c *Company) NotifyConflict(is, other *memberlist.Node) {
+	c.log.Warnf("peers: %s is the name of %s, and of %s, which is left out", is.Name, is.Address(), other.Address())
+}
+
+func (c *Company) AckPayload() []byte              { return nil }
+func (c *Company) NotifyMsg([]byte)                {}
+func (c *Company) GetBroadcasts(_, _ int) [][]byte { return nil }
+func (c *Company) LocalState(bool) []byte          { return nil }
+func (c *Company) MergeRemoteState([]byte, bool)   {}
+
+// quiet turns memberlist's lines into the sidecar's, at debug: what matters of them is told as a change of who is there.
+func quiet(to *logrus.Logger) *log.Logger { return log.New(lines{to}, "", 0) }
+
+type lines struct{ to *logrus.Logger }
+
+func (l lines) Write(b []byte) (int, error) {
+	l.to.Debug("peers: " + strings.TrimSpace(string(b)))
+	return len(b), nil
+}
