Peers in the daemon: [peers], pepperlead peers, budgets shared among those there

Off unless configured; the platform's JSON has no such part. The count of sidecars in the module's settings is the larger of the configured and the present one, also over a new configuration: a part that is cut off never does more.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -88,6 +88,9 @@
 	}
 	page("/_counters", of.Report)
 	page("/_servers", of.ServersReport)
+	if among, are := of.(interface{ PeersReport() string }); are {
+		page("/_peers", among.PeersReport)
+	}
 	mux.HandleFunc("/_health", func(w http.ResponseWriter, _ *http.Request) {
 		if !of.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"pepperlead/internal/handover"
 	"pepperlead/internal/installation"
 	"pepperlead/internal/listing"
+	"pepperlead/internal/peers"
 	"pepperlead/internal/proto"
 	"pepperlead/internal/roster"
 	"pepperlead/internal/trace"
@@ -51,6 +52,7 @@
 	Pages     string // address of counters and metrics over HTTP; "": none
 	LogLevel  string // "": as the command line says
 	LogFormat string
+	Peers     *peers.Post // nil: none
 }
 
 // Read takes orders from the configuration in the file, and from what the environment says of the same. One that begins with
@@ -126,6 +128,15 @@
 	}
 	o.Leave = in.Leave + acceptFor
 	o.Source, o.Aside = source(in)
+	if at := in.Peers; at.Listen != "" {
+		key, err := peers.ReadKey(at.Key)
+		if err != nil {
+			return o, fmt.Errorf("%s: peers.key_file: %w", path, err)
+		}
+		o.Peers = &peers.Post{Name: in.Name, Cluster: at.Cluster, Listen: at.Listen, Advertise: at.Advertise, Join: at.Join, Key: key,
+			Zone: string(in.Campaign.Zone)}
+		o.Aside += peers.Descriptors
+	}
 	if in.Pages != "" {
 		o.Latency = admin.NewLatency(in.Campaign.Offerings)
 		o.Aside += admin.Most + 2
@@ -338,8 +349,14 @@
 			return err
 		}
 	}
+	var asked admin.Sidecar = s
+	if o.Peers != nil {
+		company := meet(s, *o.Peers)
+		defer company.close()
+		asked = company
+	}
 	if o.Pages != "" {
-		at, err := admin.Listen(o.Pages, s, o.Latency.(*admin.Latency))
+		at, err := admin.Listen(o.Pages, asked, o.Latency.(*admin.Latency))
 		if err != nil {
 			return fmt.Errorf("pages: %w", err)
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -112,21 +112,22 @@
 	Servers  map[policy.ServerID]*Server
 	Held     int // tickets
 
-	fronts  []Front
-	free    [MostFronts][]*Ticket
-	byPlace []*Ticket
-	steps   []step // decided on by the module, to be carried out
-	ends    []end  // of pushes, to be told to the module
-	wake    Timer
-	look    Timer // for what is still to be done at the end
-	show    Timer // for figures of the servers
-	list    members
-	signal  chan struct{}
-	asks    chan func()   // of whoever wants something done or known; run by the loop
-	over    chan struct{} // closed once Run has ended
-	leaving bool
-	leaveBy policy.Time // the last answer must be out by then
-	turned  policy.Time // when the loop last did
+	fronts            []Front
+	free              [MostFronts][]*Ticket
+	byPlace           []*Ticket
+	steps             []step // decided on by the module, to be carried out
+	ends              []end  // of pushes, to be told to the module
+	wake              Timer
+	look              Timer // for what is still to be done at the end
+	show              Timer // for figures of the servers
+	list              members
+	signal            chan struct{}
+	asks              chan func()   // of whoever wants something done or known; run by the loop
+	over              chan struct{} // closed once Run has ended
+	leaving           bool
+	leaveBy           policy.Time // the last answer must be out by then
+	turned            policy.Time // when the loop last did
+	configured, there int         // sidecars: as the campaign says, and as peers tell; 0: they do not
 }
 
 // step is something that the module wants done.
@@ -156,6 +157,7 @@
 	for _, o := range post.Campaign.Offerings {
 		e.labels = append(e.labels, [Results]string{label(o.Name, results[0]), label(o.Name, results[1]), label(o.Name, results[2])})
 	}
+	e.configured = post.Campaign.Sidecars
 	e.Module = policy.New(e, post.Campaign, post.Seed, e.Clock.Now())
 	return e
 }
--- a/internal/engine/renew.go
+++ b/internal/engine/renew.go
@@ -11,6 +11,8 @@
 func (e *Engine) Renew(post Post) (alike bool) {
 	if alike = sameShape(post.Campaign, e.Campaign); alike {
 		*e.Campaign = *post.Campaign // where the module reads it
+		e.configured = post.Campaign.Sidecars
+		e.Among(e.there)
 	}
 	e.Post.Leave = post.Leave
 	if post.Source.Name() != e.Source.Name() {
@@ -21,6 +23,16 @@
 	return alike
 }
 
+// Among has budgets and waits shared out among as many sidecars as are there, and never among fewer than are configured: a part of a network
+// that is cut off knows of few, and must not take the others for gone. To be called by the loop.
+func (e *Engine) Among(there int) {
+	e.there = there
+	if n := max(e.configured, there); n != e.Campaign.Sidecars {
+		e.Logger.Infof("peers: budgets are shared among %d, %d are configured", n, e.configured)
+		e.Campaign.Sidecars = n
+	}
+}
+
 // sameShape tells whether the module may go on with the one in place of the other: what it has counted by offering,
 // franchise and zone must stay true.
 func sameShape(a, b *policy.Campaign) bool {
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -54,10 +54,20 @@
 	Servers   []listing.Entry // of the configuration itself
 	State     string          // folder; "": nothing is kept
 
+	Peers Peers // sidecars that this one tells of itself
+
 	LogLevel  string
 	LogFormat string
 }
 
+// Peers are the sidecars of one cluster.
+type Peers struct {
+	Listen, Advertise string // "": there are none
+	Cluster           string
+	Join              []string
+	Key               string // file
+}
+
 // Read reads a daemon's configuration. The error has a line for each fault. Paths in it are taken from the file's own folder.
 func Read(file string, text []byte) (*Installation, error) { return read(file, text, true) }
 
@@ -105,6 +115,7 @@
 		}
 		t.Done()
 	}
+	in.peers(root, folder, taken)
 	in.limits(root.Table("limits"))
 	cold := root.Table("cold")
 	c.ColdShare = cold.Real("share", 0.2, 0.001, 1)
@@ -158,6 +169,32 @@
 	return at
 }
 
+// peers reads who is to be met. Each needs a name of its own, so there is none to fall back on.
+func (in *Installation) peers(root *document.Table, folder string, taken map[string]string) {
+	t, p := root.Table("peers"), &in.Peers
+	if root.Has("peers") {
+		t.Require("listen", "cluster", "key_file")
+		if of := root.Table("instance"); !of.Has("name") {
+			t.Fault("listen", t.Found("listen"), "only with a name in [instance] that no other sidecar has")
+		}
+	}
+	if p.Listen = address(t, "listen", false); taken[p.Listen] != "" {
+		t.Fault("listen", t.Found("listen"), "another address than "+taken[p.Listen])
+	}
+	p.Advertise = address(t, "advertise", false)
+	p.Cluster = t.Text("cluster", "")
+	if p.Key = t.Text("key_file", ""); p.Key != "" {
+		p.Key = from(folder, p.Key)
+	}
+	for _, at := range t.Texts("join") {
+		if !listing.Address(at) {
+			t.Fault("join", at, "IP addresses and ports, as 10.0.0.7:9003")
+		}
+		p.Join = append(p.Join, at)
+	}
+	t.Done()
+}
+
 func (in *Installation) instance(t *document.Table) {
 	c := in.Campaign
 	in.Name = t.Text("name", "pepperlead")
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -58,6 +58,10 @@
 	// Descriptors that the sockets take, and the few connections that are open at once for whole states.
 	Descriptors = 12
 
+	probeEvery = 500 * time.Millisecond
+	probeIn    = 300 * time.Millisecond // far more than the way there and back: a process that waits for a core is no dead one
+	tcpIn      = 2 * time.Second
+
 	seekEvery = 3 * time.Second  // between two tries to meet one that is not there
 	forgetIn  = 10 * time.Minute // one that is gone is sought for so long
 	leaveIn   = 200 * time.Millisecond
@@ -101,6 +105,9 @@
 	conf.Name, conf.Label, conf.SecretKey = p.Name, p.Cluster, p.Key
 	conf.Logger = quiet(log)
 	conf.Delegate, conf.Events, conf.Ping, conf.Conflict = c, c, c, c
+	// Half a second between probes, and at most three times the least suspicion before one counts as gone: with memberlist's own figures
+	// for a LAN five processes needed up to 59 s for a cut, as few are left to confirm it.
+	conf.ProbeInterval, conf.ProbeTimeout, conf.TCPTimeout, conf.SuspicionMaxTimeoutMult = probeEvery, probeIn, tcpIn, 3
 	conf.EnableCompression = false // what is told is short, and a core is not ours alone
 	var err error
 	if conf.BindAddr, conf.BindPort, err = split(p.Listen); err != nil {
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,11 @@
 package policy
 
-import "math"
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // The state that policy.go decides on.
 
@@ -174,6 +179,16 @@
 	b.idles(t, p, t.out)
 }
 
+// Table is a digest of who has which slot, alike in all instances that deal the same, for reports.
+func (b *Balancer) Table() uint64 {
+	d, text := xxhash.New(), [8]byte{}
+	for _, p := range b.table {
+		binary.LittleEndian.PutUint64(text[:], uint64(b.servers[p].ID))
+		d.Write(text[:])
+	}
+	return d.Sum64()
+}
+
 // Avoids tells whether the server is set aside, for reports.
 func (b *Balancer) Avoids(now Time, id ServerID) bool {
 	p, known := b.places[id]
