--- a/internal/engine/members_test.go
+++ b/internal/engine/members_test.go
@@ -79,3 +79,23 @@
 		t.Error("another than the oldest was forgotten")
 	}
 }
+
+// A part of a network that is cut off knows of few sidecars, and must not take the others' part of the budgets; nor may a new configuration.
+func TestBudgetsAreNeverSharedAmongFewer(t *testing.T) {
+	source := &roster.Fixed{Called: "none"}
+	campaign := func(sidecars int) *policy.Campaign { return &policy.Campaign{Sidecars: sidecars, Tick: 5 * policy.Millisecond} }
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := New(Post{Campaign: campaign(3), Source: source}, log)
+	for i, k := range []struct{ there, renewed, want int }{{5, 0, 5}, {1, 0, 3}, {0, 8, 8}, {9, 0, 9}, {0, 2, 9}, {1, 0, 2}} {
+		if k.there > 0 {
+			e.Among(k.there)
+		}
+		if k.renewed > 0 {
+			e.Renew(Post{Campaign: campaign(k.renewed), Source: source})
+		}
+		if e.Campaign.Sidecars != k.want {
+			t.Errorf("step %d: shared among %d, not %d", i, e.Campaign.Sidecars, k.want)
+		}
+	}
+}
--- a/internal/installation/installation_test.go
+++ b/internal/installation/installation_test.go
@@ -98,6 +98,21 @@
 	}
 }
 
+func TestPeersAreReadOrFaultsTold(t *testing.T) {
+	good := "[peers]\nlisten = \"127.0.0.1:9003\"\ncluster = \"c\"\nkey_file = \"k\"\njoin = [\"10.0.0.8:9003\"]\n[limits]"
+	in, err := Read(example, []byte(strings.Replace(text(t), "[limits]", good, 1)))
+	if err != nil || in.Peers.Listen != "127.0.0.1:9003" || in.Peers.Key != "../../deploy/k" || len(in.Peers.Join) != 1 {
+		t.Errorf("%v %+v", err, in)
+	}
+	for _, k := range [][2]string{{"9003\"\nc", "9000\"\nc"}, {"10.0.0.8:9003", "host:9003"}, {"cluster", "name"}, {`key_file = "k"`, ""},
+		{`name = "desk-1"`, ""}} {
+		bad := strings.Replace(strings.Replace(text(t), "[limits]", good, 1), k[0], k[1], 1)
+		if _, err := Read("x.toml", []byte(bad)); err == nil || !strings.Contains(err.Error(), "x.toml:") || !strings.Contains(err.Error(), ", allowed ") {
+			t.Errorf("%s: %v", k[1], err)
+		}
+	}
+}
+
 // Whatever stands in a configuration: no panic, and what is read can be served.
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(text(f)))
