--- a/internal/engine/members_test.go
+++ b/internal/engine/members_test.go
@@ -83,7 +83,9 @@
 // A part of a network that is cut off knows of few sidecars, and must not take the others' part of the budgets; nor may a new configuration.
 func TestBudgetsAreNeverSharedAmongFewer(t *testing.T) {
 	source := &roster.Fixed{Called: "none"}
-	campaign := func(sidecars int) *policy.Campaign { return &policy.Campaign{Sidecars: sidecars, Tick: 5 * policy.Millisecond} }
+	campaign := func(sidecars int) *policy.Campaign {
+		return &policy.Campaign{Sidecars: sidecars, Tick: 5 * policy.Millisecond}
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e := New(Post{Campaign: campaign(3), Source: source}, log)
