--- a/cmd/pepperlead/peers_test.go
+++ b/cmd/pepperlead/peers_test.go
@@ -59,8 +59,10 @@
 	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v %s", err, built)
 	}
-	if err := os.WriteFile(filepath.Join(dir, "key"), []byte("MDEyMzQ1Njc4OWFiY2RlZg==\n"), 0o600); err != nil {
-		t.Fatal(err)
+	for name, key := range map[string]string{"key": "MDEyMzQ1Njc4OWFiY2RlZg==\n", "other": "ZmVkY2JhOTg3NjU0MzIxMA=="} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(key), 0o600); err != nil {
+			t.Fatal(err)
+		}
 	}
 	between := links.New(1)
 	defer between.Close()
@@ -74,7 +76,7 @@
 	}
 	own, meets := port("127.6.0.1"), port("127.7.0.1")
 	var all []*member
-	for i := range 5 {
+	for i := range 7 { // the last two are strangers: one has another key, one is of another cluster
 		m := &member{name: fmt.Sprint("n", i+1), log: &logged{}}
 		m.pages = fmt.Sprintf("127.6.0.%d:%d", i+1, own)
 		listen, door := fmt.Sprintf("127.6.0.%d:%d", i+1, meets), fmt.Sprintf("127.7.0.%d:%d", i+1, meets)
@@ -88,9 +90,9 @@
 		}
 		config := filepath.Join(dir, m.name+".toml")
 		text := fmt.Sprintf("[instance]\nname = %q\ninstances = 3\n[front.http]\nlisten = \"127.6.0.%d:%d\"\n[pages]\nlisten = %q\n", m.name, i+1,
-			port("127.6.0.1"), m.pages) + fmt.Sprintf("[peers]\nlisten = %q\nadvertise = %q\ncluster = \"drill\"\nkey_file = \"key\"\n"+
+			port("127.6.0.1"), m.pages) + fmt.Sprintf("[peers]\nlisten = %q\nadvertise = %q\ncluster = %q\nkey_file = %q\n"+
 			"join = [\"127.7.0.1:%d\"]\n[[offering]]\nname = \"step\"\nquoted_time = \"1s\"\ncut_off = \"2s\"\n"+
-			"[source]\nkind = \"fixed\"\n[[source.server]]\nid = \"a\"\naddress = \"127.0.0.1:1\"\n", listen, door, meets)
+			"[source]\nkind = \"fixed\"\n[[source.server]]\nid = \"a\"\naddress = \"127.0.0.1:1\"\n", listen, door, map[bool]string{true: "another"}[i == 6]+"drill", map[bool]string{false: "key", true: "other"}[i == 5], meets)
 		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -115,8 +117,22 @@
 		}
 		t.Logf("%s: %d know of %d after %.1f s", what, len(some), many, time.Since(start).Seconds())
 	}
+	strangers := all[5:]
+	all = all[:5]
 	until("start", all, 5)
-	time.Sleep(1200 * time.Millisecond) // the count is looked at each second
+	// A link that fails one way is walked round: others ask for the one that does not hear.
+	between.Set(links.Way{From: "n1", To: "n2"}, links.State{Cut: true})
+	time.Sleep(3 * time.Second)
+	if between.Counted(links.Way{From: "n1", To: "n2"}).Lost == 0 {
+		t.Error("nothing was tried one way")
+	}
+	until("a link cut one way", all, 5)
+	between.Heal()
+	for _, m := range strangers {
+		if m.alive() != 1 || between.Counted(links.Way{From: links.Place(m.name), To: "n1"}).Connections == 0 {
+			t.Errorf("%s knows of %d, or has not tried", m.name, m.alive())
+		}
+	}
 	if !all[0].log.has("budgets are shared among 5, 3 are configured") {
 		t.Error("budgets are not shared among all")
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -34,8 +34,6 @@
 	Join      []string
 	Key       []byte // 16, 24 or 32 bytes; every packet is sealed with it
 	Zone      string
-
-	tune func(*memberlist.Config) // tests have less time
 }
 
 // Says is what each sidecar tells all others of itself.
@@ -122,9 +120,6 @@
 	}
 	c.wire = &wire{NetTransport: net, own: conf.BindAddr}
 	conf.Transport = c.wire
-	if p.tune != nil {
-		p.tune(conf)
-	}
 	if c.list, err = memberlist.Create(conf); err != nil {
 		net.Shutdown()
 		return nil, err
