pepperlab drill peers: processes with links between them, killed, cut and stalled

internal/drill starts sidecars on loopback addresses of their own behind links and counts what was tried on each side of a cut. Say waited on memberlist's UpdateNode with no end, which waits until the news has been sent often enough, or for ever if it is not queued; so the goroutine that counts stood still. Ruled out: the loop (metrics answered), an address in use (it was known to all). Now bounded, and the count is taken outside the loop.

--- /dev/null
+++ b/cmd/pepperlab/drill.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"pepperlead/internal/drill"
+)
+
+func drillCommand() *cobra.Command {
+	c := &cobra.Command{Use: "drill", Short: "Start several processes of the program and break what lies between them"}
+	c.AddCommand(drillPeersCommand())
+	return c
+}
+
+func drillPeersCommand() *cobra.Command {
+	c := &cobra.Command{Use: "peers", Args: cobra.NoArgs, Short: "Kills, stalls and partitions; how soon all that are left know who is there",
+		Long: `Starts sidecars that know of each other, on loopback, with links between them. Measures what an idle one sends and costs, then cuts a
+link one way, kills one, cuts the company in two, heals it, stalls one, has one leave, and starts the killed one again, each time
+until all that are left know. Exit code 1 where they do not.`,
+		Example: "  pepperlab drill peers --count 50"}
+	count := c.Flags().Int("count", 5, "sidecars, 5 at least")
+	seed := c.Flags().Uint64("seed", 1, "names the drill")
+	daemon := c.Flags().String("daemon", "bin/pepperlead", "the daemon's `program`")
+	asJSON := c.Flags().Bool("json", false, "print the result as JSON")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		ctx, end := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer end()
+		dir, err := os.MkdirTemp("", "drill")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		s, err := drill.Begin(drill.Post{Program: *daemon, Dir: dir, Count: *count, Strangers: 2, Instances: *count, Seed: *seed})
+		defer s.Close()
+		if err != nil {
+			return err
+		}
+		of, err := drill.Peers(ctx, s, *count)
+		if *asJSON {
+			if shown := printJSON(c.OutOrStdout(), of); shown != nil {
+				return shown
+			}
+			return err
+		}
+		out := c.OutOrStdout()
+		for _, step := range of.Steps {
+			fmt.Fprintf(out, "%6.1f s  %s (%d know of %d)\n", step.Seconds, step.What, step.Know, step.Of)
+		}
+		fmt.Fprintf(out, "an idle one: %.1f packets and %.0f bytes a second sent, %.4f of a core; %.0f false alarms\n"+
+			"the links themselves took %.1f ms (99th percentile); the clock was looked at %.0f ms late at the worst\n",
+			of.Packets, of.Bytes, of.CPU, of.FalseAlarms, of.OwnDelay*1000, of.LatestClock*1000)
+		return err
+	}
+	return c
+}
--- a/cmd/pepperlab/main.go
+++ b/cmd/pepperlab/main.go
@@ -10,7 +10,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "pepperlab", Short: "Measure and rehearse what pepperlead does", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), replayCommand(), socketsCommand(), sweepCommand(), compareCommand(), reportCommand(), costCommand(), listsCommand(), followCommand(), memoryCommand())
+	root.AddCommand(runCommand(), replayCommand(), socketsCommand(), drillCommand(), sweepCommand(), compareCommand(), reportCommand(), costCommand(), listsCommand(), followCommand(), memoryCommand())
 	root.AddCommand(hidden()...)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "pepperlab:", err)
--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -47,8 +47,8 @@
 				}
 				a.of.Store(c)
 			}
-			var table uint64
-			if a.Within(countIn, func() { a.Among(c.Alive()); table = a.Module.Table() }) {
+			table, there := uint64(0), c.Alive()
+			if a.Within(countIn, func() { a.Among(there); table = a.Module.Table() }) {
 				c.Say(0, table)
 			}
 		}
--- /dev/null
+++ b/internal/drill/stage.go
@@ -0,0 +1,231 @@
+// Package drill starts several processes of the program on loopback, each at an address of its own, with links between them that can be cut,
+// and does to them what happens to processes: kills, stalls, partitions. docs/rehearsing.md, "Drills".
+package drill
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"pepperlead/internal/links"
+)
+
+// Stage holds the processes of a drill. Its folder holds their configurations and logs.
+type Stage struct {
+	Links     *links.Net
+	Processes []*Process
+	dir       string
+	program   string
+	asks      http.Client
+}
+
+// Process is one sidecar.
+type Process struct {
+	Name  links.Place
+	Log   string // file
+	stage *Stage
+	pages string
+	proc  *exec.Cmd
+	still bool
+}
+
+// Post is what the processes are told.
+type Post struct {
+	Program   string
+	Dir       string // that is there
+	Count     int
+	Strangers int // beyond the count, by turns of another key and another cluster
+	Instances int // as configured
+	Seed      uint64
+}
+
+// most is how many one machine's loopback addresses and descriptors are planned for here.
+const most = 1000
+
+// Begin starts all processes at once. The caller ends them by Close, also after an error.
+func Begin(p Post) (*Stage, error) {
+	s := &Stage{Links: links.New(p.Seed), dir: p.Dir, program: p.Program, asks: http.Client{Timeout: 2 * time.Second}}
+	if p.Count < 1 || p.Count+p.Strangers > most {
+		return s, fmt.Errorf("drill: found %d processes, allowed 1 to %d", p.Count+p.Strangers, most)
+	}
+	for i := range 2 {
+		key := base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf("%016x", p.Seed+uint64(i))))
+		if err := os.WriteFile(filepath.Join(p.Dir, fmt.Sprint("key", i)), []byte(key), 0o600); err != nil {
+			return s, err
+		}
+	}
+	front, pages, meets, err := s.ports()
+	if err != nil {
+		return s, err
+	}
+	join := make([]string, 0, 3)
+	for i := range min(3, p.Count) {
+		join = append(join, strconv.Quote(fmt.Sprintf("%s:%d", reached(i), meets)))
+	}
+	for i := range p.Count + p.Strangers {
+		one := &Process{Name: links.Place(fmt.Sprint("n", i+1)), Log: filepath.Join(p.Dir, fmt.Sprint("n", i+1, ".log")), stage: s,
+			pages: fmt.Sprintf("%s:%d", own(i), pages)}
+		listen, door := fmt.Sprintf("%s:%d", own(i), meets), fmt.Sprintf("%s:%d", reached(i), meets)
+		at := netip.MustParseAddrPort(listen)
+		s.Links.At(one.Name, at.Addr())
+		if _, err := s.Links.TCP(door, one.Name, listen); err != nil {
+			return s, err
+		}
+		if _, err := s.Links.UDP(door, one.Name, at); err != nil {
+			return s, err
+		}
+		key, cluster := 0, "drill"
+		if n := i - p.Count; n >= 0 && n%2 == 0 {
+			key = 1
+		} else if n >= 0 {
+			cluster = "another"
+		}
+		text := fmt.Sprintf("[instance]\nname = %q\ninstances = %d\nseed = \"%x\"\n[front.http]\nlisten = \"%s:%d\"\n[pages]\nlisten = %q\n", one.Name,
+			p.Instances, p.Seed*1000+uint64(i), own(i), front, one.pages) + fmt.Sprintf("[peers]\nlisten = %q\nadvertise = %q\ncluster = %q\n"+
+			"key_file = \"key%d\"\njoin = [%s]\n", listen, door, cluster, key, strings.Join(join, ", ")) + "[[offering]]\nname = \"step\"\n" +
+			"quoted_time = \"1s\"\ncut_off = \"2s\"\n[source]\nkind = \"fixed\"\n[[source.server]]\nid = \"a\"\naddress = \"127.0.0.1:1\"\n"
+		if err := os.WriteFile(one.config(), []byte(text), 0o600); err != nil {
+			return s, err
+		}
+		s.Processes = append(s.Processes, one)
+	}
+	for _, one := range s.Processes {
+		if err := one.Start(); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+// own is where a process listens and calls from, reached where the links listen for it.
+func own(i int) string     { return fmt.Sprintf("127.6.%d.%d", i/250, i%250+1) }
+func reached(i int) string { return fmt.Sprintf("127.7.%d.%d", i/250, i%250+1) }
+
+// ports are three that are free at the first process's address and at its door.
+func (s *Stage) ports() (front, pages, meets int, err error) {
+	for i, p := range []*int{&front, &pages, &meets} {
+		l, err := net.Listen("tcp", []string{own(0), own(0), reached(0)}[i]+":0")
+		if err != nil {
+			return 0, 0, 0, err
+		}
+		defer l.Close()
+		*p = l.Addr().(*net.TCPAddr).Port
+	}
+	return front, pages, meets, nil
+}
+
+func (p *Process) config() string { return filepath.Join(p.stage.dir, string(p.Name)+".toml") }
+
+// Start starts it, also again after Kill.
+func (p *Process) Start() error {
+	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	p.proc = exec.Command(p.stage.program, "serve", "--config", p.config())
+	p.proc.Stderr = log
+	return p.proc.Start()
+}
+
+// Kill ends it outright.
+func (p *Process) Kill() {
+	if p.proc != nil {
+		p.Stall(false)
+		p.proc.Process.Kill()
+		p.proc.Wait()
+		p.proc = nil
+	}
+}
+
+// Leave has it end in good order, and waits for that.
+func (p *Process) Leave() error {
+	p.proc.Process.Signal(syscall.SIGTERM)
+	err := p.proc.Wait()
+	p.proc = nil
+	return err
+}
+
+// Stall has it stand still, or go on.
+func (p *Process) Stall(still bool) {
+	if p.still != still {
+		p.still = still
+		p.proc.Process.Signal(map[bool]os.Signal{true: syscall.SIGSTOP, false: syscall.SIGCONT}[still])
+	}
+}
+
+// Said tells whether it has logged that.
+func (p *Process) Said(line string) bool {
+	log, _ := os.ReadFile(p.Log)
+	return strings.Contains(string(log), line)
+}
+
+// page asks one of its pages, line by line.
+func (p *Process) page(path string, each func(line string)) error {
+	answer, err := p.stage.asks.Get("http://" + p.pages + path)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		each(lines.Text())
+	}
+	return lines.Err()
+}
+
+// Alive is how many sidecars it holds to be there; -1: it does not answer.
+func (p *Process) Alive() (n int) {
+	if p.page("/_peers", func(line string) { n += strings.Count(line, " alive ") }) != nil {
+		return -1
+	}
+	return n
+}
+
+// Figure is one of its metrics; 0 where there is none of that name.
+func (p *Process) Figure(name string) (value float64) {
+	p.page("/metrics", func(line string) {
+		if of, text, _ := strings.Cut(line, " "); of == name {
+			value, _ = strconv.ParseFloat(text, 64)
+		}
+	})
+	return value
+}
+
+// Until waits until each of them holds so many to be there, and tells how long that took.
+func (s *Stage) Until(ctx context.Context, some []*Process, many int) (time.Duration, error) {
+	start := time.Now()
+	for _, p := range some {
+		for {
+			n := p.Alive()
+			if n == many {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return time.Since(start), fmt.Errorf("%s holds %d to be there, not %d, after %v", p.Name, n, many, time.Since(start))
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return time.Since(start), nil
+}
+
+// Close ends all.
+func (s *Stage) Close() {
+	for _, p := range s.Processes {
+		p.Kill()
+	}
+	s.Links.Close()
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -63,6 +63,7 @@
 	seekEvery = 3 * time.Second  // between two tries to meet one that is not there
 	forgetIn  = 10 * time.Minute // one that is gone is sought for so long
 	leaveIn   = 200 * time.Millisecond
+	sayIn     = time.Millisecond
 	keyFile   = 1 << 10
 )
 
@@ -183,7 +184,7 @@
 	c.says.Version, c.says.Table = version, table
 	c.mu.Unlock()
 	if changed {
-		c.list.UpdateNode(0) // told as it spreads, waited for by nobody
+		c.list.UpdateNode(sayIn) // spreads on after that; without an end it would wait until it has been sent often enough
 	}
 }
 
