--- a/internal/drill/stage.go
+++ b/internal/drill/stage.go
@@ -134,9 +134,13 @@
 		return err
 	}
 	defer log.Close()
-	p.proc = exec.Command(p.stage.program, "serve", "--config", p.config())
-	p.proc.Stderr = log
-	return p.proc.Start()
+	proc := exec.Command(p.stage.program, "serve", "--config", p.config())
+	proc.Stderr = log
+	if err := proc.Start(); err != nil {
+		return err
+	}
+	p.proc = proc
+	return nil
 }
 
 // Kill ends it outright.
