--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -112,22 +112,23 @@
 	Servers  map[policy.ServerID]*Server
 	Held     int // tickets
 
-	fronts            []Front
-	free              [MostFronts][]*Ticket
-	byPlace           []*Ticket
-	steps             []step // decided on by the module, to be carried out
-	ends              []end  // of pushes, to be told to the module
-	wake              Timer
-	look              Timer // for what is still to be done at the end
-	show              Timer // for figures of the servers
-	list              members
-	signal            chan struct{}
-	asks              chan func()   // of whoever wants something done or known; run by the loop
-	over              chan struct{} // closed once Run has ended
-	leaving           bool
-	leaveBy           policy.Time // the last answer must be out by then
-	turned            policy.Time // when the loop last did
-	configured, there int         // sidecars: as the campaign says, and as peers tell; 0: they do not
+	fronts  []Front
+	free    [MostFronts][]*Ticket
+	byPlace []*Ticket
+	steps   []step // decided on by the module, to be carried out
+	ends    []end  // of pushes, to be told to the module
+	wake    Timer
+	look    Timer // for what is still to be done at the end
+	show    Timer // for figures of the servers
+	list    members
+	signal  chan struct{}
+	asks    chan func()   // of whoever wants something done or known; run by the loop
+	over    chan struct{} // closed once Run has ended
+	leaving bool
+	leaveBy policy.Time // the last answer must be out by then
+	turned  policy.Time // when the loop last did
+
+	configured, there int // sidecars: as the campaign says, and as peers tell; 0: they do not
 }
 
 // step is something that the module wants done.
