--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -36,30 +36,32 @@
 
 // Net holds the links of one drill.
 type Net struct {
-	mu     sync.Mutex
-	places map[netip.Addr]Place
-	ways   map[Way]State
-	counts map[Way]*Count
-	healed chan struct{} // closed and made anew at each change
-	chance *rand.Rand
-	own    *hdrhistogram.Histogram // microseconds that a relay took for itself
-	relays []interface{ Close() error }
-	conns  map[net.Conn]struct{}
-	ended  bool
+	mu      sync.Mutex
+	places  map[netip.Addr]Place
+	ways    map[Way]State
+	counts  map[Way]*Count
+	healed  chan struct{} // closed and made anew at each change
+	chance  *rand.Rand
+	own     *hdrhistogram.Histogram // microseconds that a relay took for itself
+	relays  []interface{ Close() error }
+	conns   map[net.Conn]struct{}
+	doors   map[netip.AddrPort]door         // by target of packets
+	callers map[netip.AddrPort]*net.UDPConn // by who sends them
+	ended   bool
 }
 
 const (
 	chunk     = 16 << 10
-	mostAhead = 64              // chunks of one connection that are on their way
-	packet    = 64 << 10        // largest
-	quietFor  = 2 * time.Minute // a caller's way back is kept for packets
+	mostAhead = 64       // chunks of one connection that are on their way
+	packet    = 64 << 10 // largest
 	dialIn    = time.Second
 )
 
 // New makes links that let everything pass.
 func New(seed uint64) *Net {
 	return &Net{places: map[netip.Addr]Place{}, ways: map[Way]State{}, counts: map[Way]*Count{}, healed: make(chan struct{}),
-		chance: rand.New(rand.NewPCG(seed, 0)), own: hdrhistogram.New(1, 60_000_000, 3), conns: map[net.Conn]struct{}{}}
+		chance: rand.New(rand.NewPCG(seed, 0)), own: hdrhistogram.New(1, 60_000_000, 3), conns: map[net.Conn]struct{}{},
+		doors: map[netip.AddrPort]door{}, callers: map[netip.AddrPort]*net.UDPConn{}}
 }
 
 // At tells which address a place calls from.
--- a/internal/links/udp.go
+++ b/internal/links/udp.go
@@ -4,12 +4,18 @@
 	"errors"
 	"net"
 	"net/netip"
-	"sync"
 	"time"
 )
 
+// door is where packets to one target come.
+type door struct {
+	to Place
+	l  *net.UDPConn
+}
+
 // UDP relays packets that come to listen on to target, which is at the place to, and its answers back. It returns the address that it
-// listens on. Packets to target leave from a socket of the caller's own, so that an answer finds its way.
+// listens on. What one caller sends leaves from one socket of its own, whomever it is for: an answer is told by who sends it, and
+// hundreds of processes that all know each other take hundreds of sockets, not their square.
 func (n *Net) UDP(listen string, to Place, target netip.AddrPort) (string, error) {
 	at, err := net.ResolveUDPAddr("udp", listen)
 	if err != nil {
@@ -22,9 +28,10 @@
 	if err := n.added(l); err != nil {
 		return "", err
 	}
+	n.mu.Lock()
+	n.doors[target] = door{to, l}
+	n.mu.Unlock()
 	go func() {
-		var mu sync.Mutex
-		callers := map[netip.AddrPort]*net.UDPConn{}
 		b := make([]byte, packet)
 		for {
 			k, from, err := l.ReadFromUDPAddrPort(b)
@@ -34,43 +41,56 @@
 				continue // word of an earlier packet that found nobody
 			}
 			came := time.Now()
-			mu.Lock()
-			out := callers[from]
-			if out == nil {
-				if out, err = net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(target)); err != nil || !n.keep(out) {
-					mu.Unlock()
-					continue
-				}
-				callers[from] = out
-				go func() {
-					n.back(Way{to, n.from(net.UDPAddrFromAddrPort(from))}, out, l, from)
-					mu.Lock()
-					delete(callers, from)
-					mu.Unlock()
-					n.let(out)
-				}()
+			if out := n.caller(from); out != nil {
+				w := Way{n.from(net.UDPAddrFromAddrPort(from)), to}
+				n.packet(w, came, append([]byte(nil), b[:k]...), func(p []byte) { out.WriteToUDPAddrPort(p, target) })
 			}
-			mu.Unlock()
-			w := Way{n.from(net.UDPAddrFromAddrPort(from)), to}
-			n.packet(w, came, append([]byte(nil), b[:k]...), func(p []byte) { out.Write(p) })
 		}
 	}()
 	return l.LocalAddr().String(), nil
 }
 
-// back passes the answers to one caller, until it has been quiet for long.
-func (n *Net) back(w Way, out, l *net.UDPConn, to netip.AddrPort) {
+// caller gives the socket from which a caller's packets leave; nil: none can be had.
+func (n *Net) caller(from netip.AddrPort) *net.UDPConn {
+	n.mu.Lock()
+	out := n.callers[from]
+	n.mu.Unlock()
+	if out != nil {
+		return out
+	}
+	out, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil || !n.keep(out) {
+		return nil
+	}
+	n.mu.Lock()
+	if other := n.callers[from]; other != nil { // two doors at once
+		n.mu.Unlock()
+		n.let(out)
+		return other
+	}
+	n.callers[from] = out
+	n.mu.Unlock()
+	go n.back(out, from)
+	return out
+}
+
+// back passes answers to one caller.
+func (n *Net) back(out *net.UDPConn, to netip.AddrPort) {
 	b := make([]byte, packet)
 	for {
-		out.SetReadDeadline(time.Now().Add(quietFor))
-		k, err := out.Read(b)
-		var late net.Error
-		if errors.As(err, &late) && late.Timeout() || errors.Is(err, net.ErrClosed) {
+		k, from, err := out.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
 			return
 		} else if err != nil {
 			continue
 		}
-		n.packet(w, time.Now(), append([]byte(nil), b[:k]...), func(p []byte) { l.WriteToUDPAddrPort(p, to) })
+		n.mu.Lock()
+		d, known := n.doors[from]
+		n.mu.Unlock()
+		if known {
+			w := Way{d.to, n.from(net.UDPAddrFromAddrPort(to))}
+			n.packet(w, time.Now(), append([]byte(nil), b[:k]...), func(p []byte) { d.l.WriteToUDPAddrPort(p, to) })
+		}
 	}
 }
 
