--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -178,7 +178,7 @@
 			t.Fault("listen", t.Found("listen"), "only with a name in [instance] that no other sidecar has")
 		}
 	}
-	if p.Listen = address(t, "listen", false); taken[p.Listen] != "" {
+	if p.Listen = address(t, "listen", false); p.Listen != "" && taken[p.Listen] != "" {
 		t.Fault("listen", t.Found("listen"), "another address than "+taken[p.Listen])
 	}
 	p.Advertise = address(t, "advertise", false)
