--- a/internal/agreement/lease.go
+++ b/internal/agreement/lease.go
@@ -100,25 +100,23 @@
 
 // settle works out what may be done, so that looking it up for a ticket costs nothing.
 func (h *Holder) settle() {
+	h.acts = strictestOf(h.known, func(n Number) bool { return slices.Contains(h.of, n) })
+	h.floor = strictestOf(h.known, func(Number) bool { return true }).Floor()
+}
+
+// strictestOf is what all of these versions allow; no rules at all where there are none.
+func strictestOf(all []Version, counts func(Number) bool) (r Rules) {
 	first := true
-	for _, v := range h.known {
-		if slices.Contains(h.of, v.Number) {
-			if first {
-				h.acts, first = v.Rules, false
-			} else {
-				h.acts = Strictest(h.acts, v.Rules)
-			}
-		}
-	}
-	h.floor = Rules{}
-	for i, v := range h.known {
-		if i == 0 {
-			h.floor = v.Rules
-		} else {
-			h.floor = Strictest(h.floor, v.Rules)
+	for _, v := range all {
+		switch {
+		case !counts(v.Number):
+		case first:
+			r, first = v.Rules, false
+		default:
+			r = Strictest(r, v.Rules)
 		}
 	}
-	h.floor = h.floor.Floor()
+	return r
 }
 
 // Acts are the rules of this moment. leased is false once the lease has run out: then it is the strictest of all that is known, without
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -76,6 +76,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.ways[w] = s
+	n.changed()
+}
+
+// changed wakes what waits for a way to open, to look again. Under mu.
+func (n *Net) changed() {
 	close(n.healed)
 	n.healed = make(chan struct{})
 }
@@ -95,8 +100,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.ways)
-	close(n.healed)
-	n.healed = make(chan struct{})
+	n.changed()
 }
 
 // Counted tells what was tried one way: a cut that nobody tried to pass shows nothing.
@@ -155,8 +159,7 @@
 	for c := range n.conns {
 		c.Close()
 	}
-	close(n.healed)
-	n.healed = make(chan struct{})
+	n.changed()
 	n.mu.Unlock()
 	for _, r := range relays {
 		r.Close()
