Agreement: versions told far ahead no longer push out the one in force

Found on reading: Learn dropped the oldest of four versions also where it was granted, so a sidecar under a lease acted by rules that nobody had agreed on. The exploration knows two versions and could not see it. Now a version that finds no room is refused and told again. The test fails without.

--- a/internal/agreement/lease.go
+++ b/internal/agreement/lease.go
@@ -46,8 +46,8 @@
 // keptVersions is how many versions a sidecar remembers: those in force, and what may still be asked about.
 const keptVersions = 4
 
-// Learn takes a version in. False where its number is known with another digest, which it is then left with, or is older than what
-// is granted.
+// Learn takes a version in. False where its number is known with another digest, which it is then left with, where it is older than what
+// is granted, and while there is no room beside what may be in force.
 func (h *Holder) Learn(v Version) bool {
 	i, known := h.at(v.Number)
 	if known {
@@ -56,8 +56,12 @@
 	if len(h.of) > 0 && v.Number < h.of[0] {
 		return false
 	}
+	full := len(h.known) >= keptVersions
+	if full && (i == 0 || len(h.of) > 0 && h.known[0].Number >= h.of[0]) {
+		return false // what may be in force is not given up for it; it is told again
+	}
 	h.known = slices.Insert(h.known, i, v)
-	if len(h.known) > keptVersions {
+	if full {
 		h.known = h.known[1:]
 	}
 	h.settle()
--- a/internal/agreement/rules_test.go
+++ b/internal/agreement/rules_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// Versions told far ahead never push out the one that is granted: with it gone, nothing that it forbids would be known.
+func TestVersionsAheadKeepTheOneInForce(t *testing.T) {
+	h := NewHolder(1)
+	h.Learn(version(1))
+	ask, _ := h.Ask(0)
+	h.Granted(Grant{1, ask, []Number{1}, 100})
+	for n := Number(2); n < 2+2*keptVersions; n++ {
+		if h.Learn(version(n)) != (n <= keptVersions) {
+			t.Errorf("version %d", n)
+		}
+	}
+	if r, leased := h.Acts(1); !leased || !r.Allows(version(1).Rules) || !version(1).Rules.Allows(*r) {
+		t.Errorf("%+v", r)
+	}
+}
+
 // A sidecar whose lease has run out goes on, by the floor of what it knows; old answers, older terms and damaged versions change nothing.
 func TestHolderWithoutALease(t *testing.T) {
 	h := NewHolder(1)
