--- a/internal/agreement/lease.go
+++ b/internal/agreement/lease.go
@@ -38,6 +38,7 @@
 	sentAt policy.Time
 	acts   Rules // by what is granted
 	floor  Rules
+	turns  uint64 // changes of what may be done
 }
 
 // NewHolder is a sidecar that knows nothing yet. life tells its lives apart: an answer to a question of an earlier one must not count.
@@ -97,15 +98,29 @@
 			return false // it could not act by it
 		}
 	}
-	h.term, h.of, h.till = g.Term, slices.Clone(g.Of), h.sentAt+g.For
-	h.settle()
+	h.term, h.till = g.Term, h.sentAt+g.For
+	if !slices.Equal(h.of, g.Of) {
+		h.of = slices.Clone(g.Of)
+		h.settle()
+	}
 	return true
 }
 
-// settle works out what may be done, so that looking it up for a ticket costs nothing.
+// settle works out what may be done, so that looking it up for a ticket costs nothing. What is older than what was granted last comes into
+// force no more, so the floor does without it.
 func (h *Holder) settle() {
 	h.acts = strictestOf(h.known, func(n Number) bool { return slices.Contains(h.of, n) })
-	h.floor = strictestOf(h.known, func(Number) bool { return true }).Floor()
+	h.floor = strictestOf(h.known, func(n Number) bool { return len(h.of) == 0 || n >= h.of[0] }).Floor()
+	h.turns++
+}
+
+// Turns counts changes of what Acts gives, but for the end of a lease.
+func (h *Holder) Turns() uint64 { return h.turns }
+
+// Knows tells whether the version is known, under whatever digest.
+func (h *Holder) Knows(n Number) bool {
+	_, known := h.at(n)
+	return known
 }
 
 // strictestOf is what all of these versions allow; no rules at all where there are none.
@@ -164,9 +179,12 @@
 	return policy.Time(float64(g.span)*(1+g.drift)) + 1
 }
 
-// Propose begins a change to the version that follows. False while one is under way.
+// Term is whose grants these are.
+func (g *Granter) Term() Term { return g.term }
+
+// Propose begins a change to a later version. False while one is under way.
 func (g *Granter) Propose(n Number, now policy.Time) bool {
-	if g.old != g.new || n != g.new+1 {
+	if g.old != g.new || n <= g.new {
 		return false
 	}
 	g.new = n
@@ -180,6 +198,10 @@
 // Dropped ends a change.
 func (g *Granter) Dropped() { g.old = g.new }
 
+// Withdrawn ends a change by going back: who holds a grant of both goes by what is stricter until it is over. No version comes under the
+// same number again.
+func (g *Granter) Withdrawn() { g.new = g.old }
+
 // Confirmed is told that a round of the group, begun at that moment, found this term still to be the latest.
 func (g *Granter) Confirmed(begun policy.Time) { g.sure = max(g.sure, begun) }
 
--- /dev/null
+++ b/internal/agreement/random_test.go
@@ -0,0 +1,236 @@
+package agreement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pepperlead/policy"
+)
+
+// drawn rules of two offerings, so that tickets in hand meet every kind of change.
+func drawn(t *rapid.T) *Rules {
+	r := &Rules{Open: true, Instances: 1, Fall: 1}
+	for _, name := range []string{"a", "b"} {
+		o := Offering{CutOff: policy.Time(rapid.IntRange(1, 3).Draw(t, "cut-off"))}
+		switch rapid.IntRange(0, 3).Draw(t, "repeats") {
+		case 0:
+			continue
+		case 1:
+			o = Reissuable(o.CutOff)
+		case 2:
+			o = Offering{true, rapid.Bool().Draw(t, "zone"), rapid.Bool().Draw(t, "pod"), policy.Time(rapid.IntRange(1, 3).Draw(t, "window")), o.CutOff}
+		}
+		r.Offerings = append(r.Offerings, Named{name, o})
+	}
+	return r
+}
+
+// Whatever comes and goes, a ticket goes by nothing that the version which admitted it forbids, nor one that was in force since; new ones go by
+// exactly what is in force; and without a lease nothing is repeated.
+func TestTicketsGoByTheirOwnVersionOrAStricterOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type held struct {
+			at    policy.OfferingID
+			bound []Offering
+			keyed bool
+		}
+		p, tickets, now := Places{Most: rapid.IntRange(2, 8).Draw(t, "places")}, []held{}, map[policy.OfferingID]Offering{}
+		acts, leased := drawn(t), true
+		for range rapid.IntRange(5, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				acts, leased = drawn(t), rapid.IntRange(0, 3).Draw(t, "leased") > 0
+				clear(now)
+				p.Go(acts, leased, func(at policy.OfferingID, _ string, o Offering, _ bool) { now[at] = o })
+				for i := range tickets {
+					if name := p.of[tickets[i].at].name; leased {
+						o, known := acts.Offering(name)
+						if !known {
+							o = Offering{CutOff: o.CutOff}
+						}
+						tickets[i].bound = append(tickets[i].bound, o)
+					}
+				}
+			case 1, 2:
+				name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "offering")
+				at, offered := p.At(name)
+				if !offered {
+					continue
+				}
+				if o, known := acts.Offering(name); leased && p.Most >= 8 && (!known || now[at] != o) {
+					t.Fatalf("%s is admitted by %+v, in force is %+v", name, now[at], o)
+				}
+				p.Took(at)
+				tickets = append(tickets, held{at: at, bound: []Offering{p.of[at].rule}, keyed: now[at].Numbered()})
+			case 3:
+				if len(tickets) > 0 {
+					i := rapid.IntRange(0, len(tickets)-1).Draw(t, "ticket")
+					p.Gave(tickets[i].at)
+					tickets = slices.Delete(tickets, i, i+1)
+				}
+			}
+			for _, one := range tickets {
+				is := now[one.at]
+				if !leased && is.Repeats {
+					t.Fatalf("%+v is repeated without a lease", is)
+				}
+				if is.Numbered() && !one.keyed && !p.of[one.at].keyed {
+					t.Fatalf("a ticket without a number goes by %+v", is)
+				}
+				for _, o := range one.bound {
+					if strict(o, is) != is && is.Repeats {
+						t.Fatalf("a ticket bound by %+v goes by %+v", o, is)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Two sidecars and a book under random histories far longer than those explored: grants and versions late, lost and doubled, leaders that follow
+// each other, changes, ones withdrawn, and texts gone back to. Never do two act by leased versions that have none in common.
+func TestNoHistoryMakesTwoContradict(t *testing.T) {
+	for range 30 { // a hundred histories each
+		rapid.Check(t, history)
+	}
+}
+
+func history(t *rapid.T) {
+	const span, drift = 10, 0.1
+	var book Book
+	now := policy.Time(1)
+	holders := make([]*Holder, 3)
+	for i := range holders {
+		holders[i] = NewHolder(uint32(i))
+		holders[i].Learn(Version{Rules: version(1).Rules})
+	}
+	leader := NewGranter(1, span, drift, 0, 0, now)
+	old := []*Granter{}
+	type word struct {
+		to    int
+		ask   uint64
+		knows []Number
+		came  policy.Time
+		by    *Granter
+		grant *Grant
+	}
+	var way []word
+	texts := 0
+	answer := func(w word) (word, bool) {
+		if w.by == leader {
+			w.by.Confirmed(now) // only the latest term finds most of the others
+		}
+		g, given := w.by.Grant(w.ask, w.knows, w.came)
+		if !given {
+			for _, p := range book.InForce() {
+				holders[w.to].Learn(Version{Number: p.Number, Digest: p.Digest, Rules: version(1 + p.Number%2).Rules})
+			}
+		}
+		return word{to: w.to, grant: &g}, given
+	}
+	for range rapid.IntRange(50, 300).Draw(t, "steps") {
+		switch i := rapid.IntRange(0, 2).Draw(t, "who"); rapid.IntRange(0, 13).Draw(t, "step") {
+		case 10, 11, 12, 13: // there and back at once
+			by := leader
+			if len(old) > 0 && rapid.IntRange(0, 3).Draw(t, "old leader") == 0 {
+				by = old[len(old)-1]
+			}
+			ask, knows := holders[i].Ask(now)
+			if w, given := answer(word{to: i, ask: ask, knows: knows, came: now, by: by}); given {
+				holders[i].Granted(*w.grant)
+			}
+		case 0, 1, 2:
+			now += policy.Time(rapid.IntRange(1, 4).Draw(t, "moments"))
+		case 3, 4:
+			ask, knows := holders[i].Ask(now)
+			by := leader
+			if len(old) > 0 && rapid.IntRange(0, 3).Draw(t, "old leader") == 0 {
+				by = old[len(old)-1]
+			}
+			way = append(way, word{to: i, ask: ask, knows: knows, came: now, by: by})
+		case 5, 6, 7:
+			if len(way) == 0 {
+				continue
+			}
+			at := rapid.IntRange(0, len(way)-1).Draw(t, "word")
+			w := way[at]
+			if rapid.IntRange(0, 4).Draw(t, "doubled") > 0 {
+				way = slices.Delete(way, at, at+1)
+			}
+			if w.grant != nil {
+				holders[w.to].Granted(*w.grant)
+				continue
+			}
+			if w, given := answer(w); given {
+				way = append(way, w)
+			}
+		case 8:
+			texts++
+			var err error
+			if back := Number(rapid.IntRange(0, 5).Draw(t, "back")); back > 0 && book.at(back) != nil && back != book.Old {
+				err = book.Back(back, Page{}, book.Last)
+			} else {
+				err = book.Propose(Page{Text: fmt.Append(nil, texts)}, book.Last)
+			}
+			if err == nil {
+				leader.Propose(book.New, now)
+			} else if rapid.Bool().Draw(t, "withdrawn") && book.Withdraw(book.New) == nil {
+				leader.Withdrawn()
+			}
+		case 9:
+			if leader.Ready(now) && book.Drop(book.New) {
+				leader.Dropped()
+			} else if rapid.IntRange(0, 2).Draw(t, "next leader") == 0 {
+				old = append(old, leader)
+				leader = NewGranter(leader.term+1, span, drift, book.Old, book.New, now)
+			}
+		}
+		for i, a := range holders {
+			for _, b := range holders[:i] {
+				_, l := a.Acts(now)
+				_, m := b.Acts(now)
+				if l && m && !slices.ContainsFunc(a.InForce(), func(n Number) bool { return slices.Contains(b.InForce(), n) }) {
+					t.Fatalf("at %d one acts by %v, another by %v, book %d %d", now, a.InForce(), b.InForce(), book.Old, book.New)
+				}
+			}
+		}
+	}
+}
+
+func TestBookKeepsOneOrder(t *testing.T) {
+	var b Book
+	page := func(text string) Page { return Page{Text: []byte(text), Author: "a"} }
+	if b.Propose(page("x"), 0) != nil || b.Old != 0 || b.New != 1 || b.Propose(page("y"), 1) != ErrUnderWay {
+		t.Fatalf("%+v", b)
+	}
+	if b.Drop(2) || !b.Drop(1) || b.Drop(1) || b.Old != 1 {
+		t.Fatalf("%+v", b)
+	}
+	if err := b.Propose(page("y"), 0); err == nil {
+		t.Error("one that has not seen the latest is let in")
+	}
+	if err := b.Propose(page("x"), 1); err == nil {
+		t.Error("the text in force is let in")
+	}
+	if b.Propose(page("y"), 1) != nil || b.Withdraw(1) != ErrNothing || b.Withdraw(2) != nil || b.Old != 1 || b.New != 1 {
+		t.Fatalf("%+v", b)
+	}
+	if b.Propose(page("z"), 2) != nil || !b.Drop(3) || b.Back(9, Page{}, 3) == nil || b.Back(1, Page{}, 3) != nil {
+		t.Fatalf("%+v", b)
+	}
+	if of := b.InForce(); len(of) != 2 || string(of[0].Text) != "z" || string(of[1].Text) != "x" || of[1].From != 1 || of[1].Number != 4 {
+		t.Fatalf("%+v", of)
+	}
+	b.Drop(4)
+	for i := range 2 * keptPages { // withdrawn ones must not push out what is in force
+		if b.Propose(page(fmt.Sprint(i)), b.Last) != nil || b.Withdraw(b.New) != nil {
+			t.Fatalf("%+v", b)
+		}
+	}
+	if of := b.InForce(); len(b.Pages) != keptPages || len(of) != 1 || of[0].Number != 4 {
+		t.Fatalf("%d pages, %+v", len(b.Pages), of)
+	}
+}
--- a/internal/agreement/rules.go
+++ b/internal/agreement/rules.go
@@ -55,6 +55,58 @@
 	return Offering{Repeats: true, Window: math.MaxInt64, CutOff: cutOff}
 }
 
+// Numbered tells whether tickets may run twice only where servers know them again by their number.
+func (o Offering) Numbered() bool { return o.Repeats && (o.Zone || o.Cell || o.Window < math.MaxInt64) }
+
+// RulesOf is what binds of a campaign whose offerings are cut off at these times. servers: nil where it says nothing of them.
+func RulesOf(c *policy.Campaign, cutOffs []policy.Time, servers []policy.Member) Rules {
+	r := Rules{Open: servers == nil, Instances: c.Sidecars, ColdShare: c.ColdShare, ColdTime: c.ColdTime, Fall: c.FallMultiple}
+	for i, o := range c.Offerings {
+		one := Offering{CutOff: cutOffs[i]}
+		switch o.Repeats {
+		case policy.Reissuable:
+			one = Reissuable(cutOffs[i])
+		case policy.Numbered:
+			one.Repeats, one.Window, one.Zone, one.Cell = true, o.Window, o.Group == policy.GroupZone, o.Group == policy.GroupCell
+		}
+		r.Offerings = append(r.Offerings, Named{o.Name, one})
+	}
+	for _, f := range c.Franchises {
+		r.Franchises = append(r.Franchises, Franchise{f.Name, f.Quota})
+	}
+	for _, m := range servers {
+		if m.Standing == policy.Ready {
+			r.Servers = append(r.Servers, Server{m.ID, m.Started})
+		}
+	}
+	slices.SortFunc(r.Offerings, func(x, y Named) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(r.Franchises, func(x, y Franchise) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(r.Servers, func(x, y Server) int { return cmp.Compare(x.ID, y.ID) })
+	return r
+}
+
+// Bind writes into an offering what binds of it. Where it may be repeated within a zone and within a pod alike it may not at all: the module
+// knows one group for each.
+func (o Offering) Bind(to *policy.Offering) {
+	to.Repeats, to.Group, to.Window = policy.AtMostOnce, policy.GroupAll, 0
+	if o.CutOff > 0 {
+		to.CutOff = o.CutOff
+	}
+	switch {
+	case !o.Repeats || o.Zone && o.Cell:
+	case !o.Numbered():
+		to.Repeats = policy.Reissuable
+	default:
+		to.Repeats, to.Window = policy.Numbered, o.Window
+		if o.Zone {
+			to.Group = policy.GroupZone
+		}
+		if o.Cell {
+			to.Group = policy.GroupCell
+		}
+	}
+}
+
 // Floor is what may be done under any version at all: no repeat once a push may have run, nothing to a cold server. It is what is left to
 // a sidecar that cannot know which version is in force.
 func (r Rules) Floor() Rules {
@@ -146,14 +198,8 @@
 // Allows tells whether all that other allows is allowed here too: nothing that r forbids.
 func (r Rules) Allows(other Rules) bool {
 	for _, o := range other.Offerings {
-		i, known := slices.BinarySearchFunc(r.Offerings, o.Name, func(n Named, name string) int { return cmp.Compare(n.Name, name) })
-		if !known {
-			if o.Repeats {
-				return false
-			}
-			continue
-		}
-		if strict(r.Offerings[i].Offering, o.Offering) != o.Offering {
+		mine, known := r.Offering(o.Name)
+		if known && strict(mine, o.Offering) != o.Offering || !known && o.Repeats {
 			return false
 		}
 	}
@@ -172,3 +218,12 @@
 	return (r.Open || !other.Open) && other.Instances >= r.Instances && other.ColdShare <= r.ColdShare && other.ColdTime >= r.ColdTime &&
 		other.Fall <= r.Fall
 }
+
+// Offering is what binds of the one under that name.
+func (r *Rules) Offering(name string) (Offering, bool) {
+	i, known := slices.BinarySearchFunc(r.Offerings, name, func(n Named, name string) int { return cmp.Compare(n.Name, name) })
+	if !known {
+		return Offering{}, false
+	}
+	return r.Offerings[i].Offering, true
+}
