--- a/cmd/pepperlead/main.go
+++ b/cmd/pepperlead/main.go
@@ -62,7 +62,7 @@
 	})
 	root.AddCommand(serveCommand(), checkCommand(), askCommand("counters", "Print the counters of a sidecar that runs"),
 		askCommand("peers", "Print the peers that a sidecar knows, asked at its pages"),
-		askCommand("servers", "Print the servers that a sidecar knows, and whether its list was refused"), callCommand(), listCommand(),
+		askCommand("servers", "Print the servers that a sidecar knows, and whether its list was refused"), callCommand(), listCommand(), keepCommand(), applyCommand(), rollbackCommand(), withdrawCommand(), versionsCommand(),
 		demoCommand(), migrateCommand(), &cobra.Command{Use: "version", Short: "Print the version", Args: exactly(0),
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), version()) }})
 	return root.Execute()
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -58,6 +58,17 @@
 	return l
 }
 
+// Named has the answers at that place count under that offering's name.
+func (l *Latency) Named(o policy.OfferingID, name string) {
+	for len(l.by) <= int(o) {
+		l.by = append(l.by, nil)
+	}
+	l.by[o] = nil
+	for _, a := range Answers {
+		l.by[o] = append(l.by[o], l.vec.WithLabelValues(name, a))
+	}
+}
+
 // Observe counts a final answer; answer is its place in Answers.
 func (l *Latency) Observe(o policy.OfferingID, answer int, spent policy.Time) {
 	l.by[o][answer].Observe(float64(spent) / float64(policy.Second))
--- /dev/null
+++ b/internal/daemon/agreed.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"pepperlead/internal/agreement"
+	"pepperlead/internal/engine"
+	"pepperlead/internal/installation"
+	"pepperlead/policy"
+)
+
+const (
+	askEvery  = 400 * time.Millisecond // between questions for a lease: three of them fit into the shortest that is of use
+	askSpread = 0.2                    // of it, so that sidecars that were started together do not ask together
+	loyalFor  = 3 * askEvery           // that a keeper which has granted is asked alone
+	mostHeard = 64                     // words that wait to be taken in
+)
+
+// agreed keeps a sidecar's versions and lease as they are.
+type agreed struct {
+	*among
+	heard  chan []byte
+	from   string // who granted last
+	fromAt time.Time
+	soon   bool // to ask at once
+
+	leased, version                         atomic.Uint64
+	granted, learned, refused, unread, lost atomic.Uint64
+}
+
+// ownVersion is what the sidecar's own file says, as the version that is in force where the cluster has none.
+func ownVersion(c *policy.Campaign, cutOffs []policy.Time) *engine.Version {
+	own := *c
+	own.Offerings, own.Franchises = slices.Clone(c.Offerings), slices.Clone(c.Franchises)
+	return &engine.Version{Version: agreement.Version{Rules: agreement.RulesOf(&own, cutOffs, nil)}, Campaign: &own}
+}
+
+// readVersion makes a version of a page. The error has a line for each fault.
+func readVersion(p agreement.Page) (*engine.Version, error) {
+	v, err := installation.ReadVersion("version", p.Text)
+	if err != nil {
+		return nil, err
+	}
+	var servers []policy.Member
+	for _, e := range v.Servers {
+		servers = append(servers, e.Member)
+	}
+	return &engine.Version{Version: agreement.Version{Number: p.Number, Digest: p.Digest, Rules: agreement.RulesOf(v.Campaign, v.CutOffs, servers)},
+		Campaign: v.Campaign, Servers: v.Servers}, nil
+}
+
+func (g *agreed) hear(b []byte) {
+	select {
+	case g.heard <- b:
+	default: // it is asked for again
+	}
+}
+
+// run asks for leases and takes in what is said, until the sidecar ends.
+func (g *agreed) run(stop <-chan struct{}) {
+	ears := agreement.Ears{Granted: g.grantedBy, Told: g.told}
+	next := time.NewTimer(0)
+	for {
+		select {
+		case <-stop:
+			return
+		case b := <-g.heard:
+			if !ears.Hear(b) {
+				g.unread.Add(1)
+			}
+			if g.soon {
+				g.soon = false
+				next.Reset(0)
+			}
+		case <-next.C:
+			next.Reset(time.Duration(float64(askEvery) * (1 + askSpread*(rand.Float64()-0.5))))
+			g.ask()
+		}
+	}
+}
+
+// ask asks the keeper that granted last, or all of them where it has been silent.
+func (g *agreed) ask() {
+	c := g.of.Load()
+	if c == nil {
+		return
+	}
+	keepers := c.Keepers()
+	if time.Since(g.fromAt) < loyalFor && slices.Contains(keepers, g.from) {
+		keepers = []string{g.from}
+	}
+	var b []byte
+	if len(keepers) == 0 || !g.Within(countIn, func() {
+		ask, knows := g.Ask()
+		b = agreement.SayAsk(c.Own(), ask, knows)
+		g.note()
+	}) {
+		return
+	}
+	for _, to := range keepers {
+		c.Send(to, b) // lost: it is asked again
+	}
+}
+
+// note keeps what others are told. The loop calls it.
+func (g *agreed) note() {
+	of, leased := g.Standing()
+	if len(of) > 0 {
+		g.version.Store(uint64(of[len(of)-1]))
+	}
+	was := g.leased.Swap(map[bool]uint64{true: 1}[leased])
+	if was == 1 && !leased {
+		g.lost.Add(1)
+	}
+}
+
+func (g *agreed) grantedBy(from string, by agreement.Grant) {
+	g.Within(countIn, func() {
+		if g.Granted(by) {
+			g.from, g.fromAt = from, time.Now()
+			g.granted.Add(1)
+		}
+		g.note()
+	})
+}
+
+func (g *agreed) told(from string, p agreement.Page) {
+	if sha256.Sum256(p.Text) != p.Digest {
+		g.refuse(p, "its digest is that of another text")
+		return
+	}
+	v, err := readVersion(p)
+	if err != nil {
+		g.refuse(p, strings.ReplaceAll(err.Error(), "\n", "; "))
+		return
+	}
+	g.Within(countIn, func() {
+		switch {
+		case g.Learn(v):
+			g.learned.Add(1)
+			g.soon = true
+		default:
+			g.refuse(p, "its number is known with another digest, or what is in force is newer")
+		}
+	})
+}
+
+func (g *agreed) refuse(p agreement.Page, why string) {
+	g.refused.Add(1)
+	g.Logger.WithField("why", why).Errorf("rules: version %d is left out, what is in force stays", p.Number)
+}
+
+// figures hands over what is counted of versions.
+func (g *agreed) figures(each func(name string, value float64, rises bool)) {
+	each("rules_version", float64(g.version.Load()), false)
+	each("rules_leased", float64(g.leased.Load()), false)
+	each("rules_leases_lost", float64(g.lost.Load()), true)
+	each("rules_leases", float64(g.granted.Load()), true)
+	each("rules_learned", float64(g.learned.Load()), true)
+	each("rules_refused", float64(g.refused.Load()), true)
+	each("rules_unreadable", float64(g.unread.Load()), true)
+}
--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"pepperlead/internal/engine"
 	"pepperlead/internal/peers"
 	"pepperlead/internal/proto"
 )
@@ -21,12 +23,20 @@
 	of    atomic.Pointer[peers.Company] // nil until it could be opened
 	stop  chan struct{}
 	ended sync.WaitGroup
+	rules *agreed // nil: the file's own
 }
 
 // meet opens the company, and keeps what this sidecar tells of itself, and how many it shares budgets with, as it is. An address that is
-// still the process's before this one is tried again: serving never waits for peers.
-func meet(s *proto.Sidecar, post peers.Post) *among {
+// still the process's before this one is tried again: serving never waits for peers. own: what its file says, where rules are agreed on; else nil.
+func meet(s *proto.Sidecar, post peers.Post, own *engine.Version) *among {
 	a := &among{Sidecar: s, post: post, stop: make(chan struct{})}
+	if own != nil {
+		s.Agree(own, rand.Uint32())
+		a.rules = &agreed{among: a, heard: make(chan []byte, mostHeard)}
+		a.post.Heard = a.rules.hear
+		post = a.post
+		a.ended.Go(func() { a.rules.run(a.stop) })
+	}
 	a.ended.Go(func() {
 		told := ""
 		for wait := time.Duration(0); ; wait = countEvery {
@@ -49,13 +59,20 @@
 			}
 			table, there := uint64(0), c.Alive()
 			if a.Within(countIn, func() { a.Among(there); table = a.Module.Table() }) {
-				c.Say(0, table)
+				c.Say(a.version(), table)
 			}
 		}
 	})
 	return a
 }
 
+func (a *among) version() uint64 {
+	if a.rules == nil {
+		return 0
+	}
+	return a.rules.version.Load()
+}
+
 // PeersReport is who is there, one a line.
 func (a *among) PeersReport() string {
 	if c := a.of.Load(); c != nil {
@@ -70,6 +87,9 @@
 	if c := a.of.Load(); c != nil {
 		c.Figures(each)
 	}
+	if a.rules != nil {
+		a.rules.figures(each)
+	}
 }
 
 func (a *among) close() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -20,6 +21,7 @@
 	"pepperlead/internal/admin"
 	"pepperlead/internal/campaign"
 	"pepperlead/internal/clock"
+	"pepperlead/internal/engine"
 	"pepperlead/internal/handover"
 	"pepperlead/internal/installation"
 	"pepperlead/internal/listing"
@@ -53,6 +55,7 @@
 	LogLevel  string // "": as the command line says
 	LogFormat string
 	Peers     *peers.Post // nil: none
+	Agree     bool        // rules come from the peers' keepers
 }
 
 // Read takes orders from the configuration in the file, and from what the environment says of the same. One that begins with
@@ -135,6 +138,7 @@
 		}
 		o.Peers = &peers.Post{Name: in.Name, Cluster: at.Cluster, Listen: at.Listen, Advertise: at.Advertise, Join: at.Join, Key: key,
 			Zone: string(in.Campaign.Zone)}
+		o.Agree = at.Agree
 		o.Aside += peers.Descriptors
 	}
 	if in.Pages != "" {
@@ -318,6 +322,9 @@
 	signal.Notify(again, syscall.SIGHUP)
 	fresh := make(chan proto.Post)
 	go reread(path, o, again, fresh, log)
+	if record != "" && o.Agree {
+		return errors.New("record: a trace has one set of offerings, and with peers.agree these come and go")
+	}
 	if record != "" {
 		r, err := trace.Create(record, head(o))
 		if err != nil {
@@ -351,7 +358,11 @@
 	}
 	var asked admin.Sidecar = s
 	if o.Peers != nil {
-		company := meet(s, *o.Peers)
+		var own *engine.Version
+		if o.Agree {
+			own = ownVersion(o.Campaign, o.CutOffs)
+		}
+		company := meet(s, *o.Peers, own)
 		defer company.close()
 		asked = company
 	}
@@ -407,6 +418,9 @@
 		} else {
 			now.inFile, now.Source = next.inFile, next.Source
 		}
+		if now.Agree {
+			next.Campaign = &policy.Campaign{} // of another shape: it stays as the cluster's versions say
+		}
 		next.Latency, next.Record = now.Latency, now.Record
 		next.Memory = next.Memory * bufferPercent / 100
 		fresh <- next.Post
--- /dev/null
+++ b/internal/daemon/keep.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"pepperlead/internal/group"
+	"pepperlead/internal/installation"
+	"pepperlead/internal/peers"
+	"pepperlead/policy"
+)
+
+// ReadKeeping takes what a keeper is told from the file.
+func ReadKeeping(path string) (*installation.Keeping, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return installation.ReadKeeping(path, b)
+}
+
+// CheckVersion tells why a text can be no version, or can none follow on the one that is in force, nil where there is none yet. The error has a
+// line for each fault.
+func CheckVersion(file string, text, inForce []byte) error {
+	next, err := installation.ReadVersion(file, text)
+	if err != nil || inForce == nil || next.Servers == nil {
+		return err
+	}
+	now, err := installation.ReadVersion("in force", inForce)
+	if err != nil || now.Servers == nil {
+		return nil // what is in force was taken in by an older keeper
+	}
+	ready := map[policy.ServerID]bool{}
+	for _, s := range now.Servers {
+		ready[s.ID] = s.Standing == policy.Ready
+	}
+	for _, s := range next.Servers {
+		if s.Standing == policy.Ready && ready[s.ID] {
+			return nil
+		}
+	}
+	// While a change is under way only servers that both name are used: it would be an outage.
+	return fmt.Errorf("%s: server: found none that the version in force has ready too, allowed a change that keeps one: make it in two", file)
+}
+
+// Keep runs a keeper of versions until it is told to end.
+func Keep(k *installation.Keeping, log *logrus.Logger) error {
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	key, err := peers.ReadKey(k.Peers.Key)
+	if err != nil {
+		return fmt.Errorf("peers.key_file: %w", err)
+	}
+	post := group.Post{Name: k.Name, Folder: k.Folder, Listen: k.Listen, Cluster: k.Peers.Cluster, Key: key, Lease: k.Lease, Drift: k.Drift,
+		Check: func(text, inForce []byte) error { return CheckVersion("version", text, inForce) }}
+	for _, m := range k.Members {
+		post.Members = append(post.Members, group.Member(m))
+	}
+	keeper, err := group.Open(post, log)
+	if err != nil {
+		return fmt.Errorf("keep: %w", err)
+	}
+	defer keeper.Close()
+	pages, err := group.Listen(keeper)
+	if err != nil {
+		return fmt.Errorf("pages: %w", err)
+	}
+	defer pages.Close()
+	company, err := peers.Open(peers.Post{Name: k.Name, Cluster: k.Peers.Cluster, Listen: k.Peers.Listen, Advertise: k.Peers.Advertise,
+		Join: k.Peers.Join, Key: key, Keeper: true, Heard: keeper.Heard}, log)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	defer company.Close()
+	keeper.Meet(company)
+	log.WithField("pages", pages.At).Info("keeping")
+	<-stop
+	log.Info("keep: ends")
+	return nil
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -49,6 +49,8 @@
 // Latency counts final answers by offering and by how they ended: 0 honoured, 1 declined, 2 turned back, 3 given up.
 type Latency interface {
 	Observe(o policy.OfferingID, answer int, spent policy.Time)
+	// Named says that this place is that offering's from now on.
+	Named(o policy.OfferingID, name string)
 }
 
 // Post is what an engine is told at its start.
@@ -79,8 +81,9 @@
 	Server   policy.ServerID
 	SentAt   policy.Time
 	Wait     Timer
-	Settled  bool // the final answer is decided on
-	Pending  int  // steps decided on and not yet carried out
+	Settled  bool   // the final answer is decided on
+	decided  uint64 // changes of the rules before its latest push was decided on
+	Pending  int    // steps decided on and not yet carried out
 }
 
 // Server is a server as lists tell of it. Parts are the fronts' own, by the order in which these were added.
@@ -128,6 +131,9 @@
 	leaveBy policy.Time // the last answer must be out by then
 	turned  policy.Time // when the loop last did
 
+	terms *terms       // nil: none are agreed on
+	names atomic.Int64 // of offerings that are shown
+
 	configured, there int // sidecars: as the campaign says, and as peers tell; 0: they do not
 }
 
@@ -158,6 +164,7 @@
 	for _, o := range post.Campaign.Offerings {
 		e.labels = append(e.labels, [Results]string{label(o.Name, results[0]), label(o.Name, results[1]), label(o.Name, results[2])})
 	}
+	e.names.Store(int64(len(e.labels)))
 	e.configured = post.Campaign.Sidecars
 	e.Module = policy.New(e, post.Campaign, post.Seed, e.Clock.Now())
 	return e
@@ -238,6 +245,7 @@
 		now = e.Clock.Now()
 	}
 	e.turned = now
+	e.obey()
 	e.hear(now)
 	for _, f := range e.fronts {
 		f.Gather(now)
@@ -329,6 +337,9 @@
 		e.byPlace = append(e.byPlace, nil)
 	}
 	t.Handle, e.byPlace[h.Place()] = h, t
+	if e.terms != nil {
+		e.terms.places.Took(o)
+	}
 	e.Module.Begin(now, h)
 }
 
@@ -393,6 +404,9 @@
 	if at := t.Handle.Place(); at < len(e.byPlace) && e.byPlace[at] == t {
 		e.byPlace[at] = nil
 	}
+	if e.terms != nil {
+		e.terms.places.Gave(t.Offering)
+	}
 	t.Front.Given(t)
 	*t = Ticket{Front: t.Front, front: t.front, Part: t.Part, Wait: Timer{Do: t.Wait.Do}}
 	e.free[t.front] = append(e.free[t.front], t)
@@ -432,7 +446,7 @@
 
 func (e *Engine) Push(h policy.Handle, to policy.ServerID, wait policy.Time) {
 	t := e.want(h, step{do: (*Engine).push, server: to, span: wait})
-	t.Out, t.Server, t.PushNo = true, to, policy.PushNo(t.Pushes)
+	t.Out, t.Server, t.PushNo, t.decided = true, to, policy.PushNo(t.Pushes), e.acted()
 	t.Pushes++
 }
 
@@ -493,7 +507,7 @@
 func (e *Engine) push(now policy.Time, t *Ticket, n step) {
 	t.SentAt = now
 	s := e.Servers[n.server]
-	if t.Settled || s == nil {
+	if t.Settled || s == nil || !e.Stands(now, t) {
 		e.Ended(now, t, policy.NotSent)
 		return
 	}
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -33,6 +33,8 @@
 	seen    map[policy.ServerID]struct{}
 	order   []policy.ServerID // of those seen, a ring
 	oldest  int
+	closed  bool           // versions say which servers there are
+	own     []roster.Entry // what the source said last, where there are versions
 }
 
 // start runs a source beside the loop.
@@ -92,7 +94,12 @@
 	case n.List != nil:
 		f.succeeded()
 		f.refused = ""
-		f.apply(now, n.List)
+		if f.e.terms != nil {
+			f.keep(n.List)
+		}
+		if !f.closed {
+			f.apply(now, n.List)
+		}
 	case n.Failed != "":
 		f.e.Counters.ListFails++
 		if f.failed++; f.failed == 1 {
--- a/internal/engine/stat.go
+++ b/internal/engine/stat.go
@@ -7,7 +7,7 @@
 // Each hands over every figure that operators are shown, under the name that they know it by; labels are in the Prometheus form,
 // rises tells a counter.
 func (e *Engine) Each(one func(name, labels string, n int64, rises bool)) {
-	for o := range e.Tally.Answered {
+	for o := range int(e.names.Load()) {
 		for r := range results {
 			one("edge_gw_downstream_requests_total", e.labels[o][r], e.Tally.Answered[o][r].Load(), true)
 		}
--- a/internal/engine/tally.go
+++ b/internal/engine/tally.go
@@ -21,7 +21,7 @@
 
 // Tally is kept by the loop, and read by any goroutine without asking it.
 type Tally struct {
-	Answered    [][Results]atomic.Int64 // by offering
+	Answered    [][Results]atomic.Int64 // by offering; where these change, by name
 	Written     atomic.Int64            // pushes of which the kernel has the last byte
 	Pending     atomic.Int64            // tickets taken and not answered
 	Members     atomic.Int64            // servers in the list
@@ -32,14 +32,19 @@
 const figuresEvery = 200 * policy.Millisecond // between looks at who is avoided
 
 // Count counts a request's end. Requests that never became tickets are counted by their front.
-func (y *Tally) Count(o policy.OfferingID, r Result) { y.Answered[o][r].Add(1) }
+func (e *Engine) Count(o policy.OfferingID, r Result) {
+	if e.terms != nil {
+		o = policy.OfferingID(e.terms.rows[o])
+	}
+	e.Tally.Answered[o][r].Add(1)
+}
 
 // owedNoMore counts a ticket's end, once.
 func (e *Engine) owedNoMore(t *Ticket, answer int) {
 	if t.Owed {
 		t.Owed = false
 		e.Tally.Pending.Add(-1)
-		e.Tally.Count(t.Offering, resultOf[answer])
+		e.Count(t.Offering, resultOf[answer])
 	}
 }
 
--- /dev/null
+++ b/internal/engine/terms.go
@@ -0,0 +1,290 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+
+	"pepperlead/internal/agreement"
+	"pepperlead/internal/clock"
+	"pepperlead/internal/roster"
+	"pepperlead/policy"
+)
+
+// Version is one as this sidecar can act by it: what binds, and all else that it says.
+type Version struct {
+	agreement.Version
+	Campaign *policy.Campaign
+	Servers  []roster.Entry // nil: those of the sidecar's own source
+}
+
+// mostPlaces is how many offerings there may be, with those that tickets in hand were admitted to before a change.
+const mostPlaces = 512
+
+// terms are the rules that this sidecar agrees on with others. The loop's own.
+type terms struct {
+	holder *agreement.Holder
+	places agreement.Places
+	of     map[agreement.Number]*Version
+	named  []string // by place
+	rows   []int    // by place: where its figures are
+	turns  uint64
+	leased bool
+	last   []agreement.Number
+	acts   uint64 // changes
+}
+
+// Agreeing is a front that can go on while offerings and franchises come and go. With NoOffering and NoFranchise they go.
+type Agreeing interface {
+	Offers(name string, at policy.OfferingID, cutOff policy.Time)
+	Quotes(name string, at policy.FranchiseID)
+}
+
+// Agree has the engine go by versions from now on: by its own file's as number 0, and until there is a lease by the floor of that. life tells
+// this process's lives apart. To be called before Run.
+func (e *Engine) Agree(own *Version, life uint32) {
+	t := &terms{holder: agreement.NewHolder(life), of: map[agreement.Number]*Version{}, turns: 1 << 63}
+	t.places.Most = mostPlaces
+	e.terms = t
+	e.Tally.Answered = make([][Results]atomic.Int64, mostPlaces)
+	names := len(e.labels)
+	e.names.Store(int64(names))
+	e.labels = append(e.labels, make([][Results]string, mostPlaces-names)...)
+	e.Learn(own)
+	e.act(&own.Rules, true)
+	e.obey()
+}
+
+// Learn takes in a version, if it can come into force. False: its number is known with another digest, or it is too old.
+func (e *Engine) Learn(v *Version) bool {
+	t := e.terms
+	if !t.holder.Learn(v.Version) {
+		return false
+	}
+	t.of[v.Number] = v
+	for n := range t.of {
+		if !t.holder.Knows(n) {
+			delete(t.of, n)
+		}
+	}
+	e.obey()
+	return true
+}
+
+// Ask numbers a question for a lease that is sent now.
+func (e *Engine) Ask() (ask uint64, knows []agreement.Number) {
+	return e.terms.holder.Ask(clock.Awake())
+}
+
+// Granted takes a lease.
+func (e *Engine) Granted(g agreement.Grant) bool {
+	granted := e.terms.holder.Granted(g)
+	e.obey()
+	return granted
+}
+
+// Standing tells by which versions this sidecar acts, and whether it has a lease on them.
+func (e *Engine) Standing() (of []agreement.Number, leased bool) {
+	return e.terms.holder.InForce(), e.terms.leased
+}
+
+// acted counts changes of what may be done, so that what was decided before one is looked at again.
+func (e *Engine) acted() uint64 {
+	if e.terms == nil {
+		return 0
+	}
+	return e.terms.acts
+}
+
+// obey goes over to the rules of this moment: a lease may have run out since the loop last looked, or in a process that stood still.
+func (e *Engine) obey() {
+	t := e.terms
+	if t == nil {
+		return
+	}
+	r, leased := t.holder.Acts(clock.Awake())
+	if leased != t.leased || t.turns != t.holder.Turns() {
+		t.turns = t.holder.Turns()
+		e.act(r, leased)
+	}
+}
+
+// Stands tells whether a push that was decided on may be written now.
+func (e *Engine) Stands(now policy.Time, t *Ticket) bool {
+	if e.terms == nil {
+		return true
+	}
+	e.obey()
+	return t.decided == e.acted() || e.Module.Stands(now, t.Handle)
+}
+
+// act has the module go by these rules from its next decision on.
+func (e *Engine) act(r *agreement.Rules, leased bool) {
+	t, c := e.terms, e.Campaign
+	t.acts++
+	said := e.said()
+	t.places.Go(r, leased, func(at policy.OfferingID, name string, now agreement.Offering, admits bool) {
+		e.place(at, name, now, said[0])
+		if admits {
+			e.agreeing(func(f Agreeing) { f.Offers(name, at, now.CutOff) })
+		}
+	})
+	for _, name := range slices.Compact(slices.Sorted(slices.Values(t.named))) {
+		if _, offered := t.places.At(name); !offered {
+			e.agreeing(func(f Agreeing) { f.Offers(name, policy.NoOffering, 0) })
+		}
+	}
+	c.ColdShare, c.ColdTime, c.FallMultiple, e.configured = r.ColdShare, r.ColdTime, r.Fall, r.Instances
+	e.Among(e.there)
+	e.quotas(r)
+	if t.leased != leased || !slices.Equal(t.last, t.holder.InForce()) {
+		t.leased, t.last = leased, slices.Clone(t.holder.InForce())
+		e.Logger.WithField("versions", t.last).WithField("leased", leased).WithField("awake_ns", int64(clock.Awake())).
+			Infof("rules: %s", map[bool]string{true: "by what these versions allow", false: "no lease: nothing is repeated, nothing goes to cold servers"}[leased])
+	}
+	e.list.agreed(r, said)
+}
+
+// said are the versions that say what does not bind: those in force, the newest first, then the others that are known.
+func (e *Engine) said() (all []*Version) {
+	t := e.terms
+	for _, v := range t.of {
+		all = append(all, v)
+	}
+	inForce := func(v *Version) int {
+		if slices.Contains(t.holder.InForce(), v.Number) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(all, func(x, y *Version) int {
+		return cmp.Or(inForce(y)-inForce(x), cmp.Compare(y.Number, x.Number))
+	})
+	return all
+}
+
+func (e *Engine) agreeing(do func(Agreeing)) {
+	for _, f := range e.fronts {
+		if one, does := f.(Agreeing); does {
+			do(one)
+		}
+	}
+}
+
+// place writes what binds a place's tickets to where the module reads it.
+func (e *Engine) place(at policy.OfferingID, name string, now agreement.Offering, latest *Version) {
+	t, c := e.terms, e.Campaign
+	for len(t.named) <= int(at) {
+		t.named, t.rows = append(t.named, ""), append(t.rows, 0)
+	}
+	for len(c.Offerings) <= int(at) {
+		c.Offerings = append(c.Offerings, policy.Offering{})
+	}
+	o := &c.Offerings[at]
+	like := slices.Index(t.named, name)
+	if i := slices.IndexFunc(latest.Campaign.Offerings, func(o policy.Offering) bool { return o.Name == name }); i >= 0 {
+		*o = latest.Campaign.Offerings[i]
+	} else if t.named[at] != name && like >= 0 {
+		*o = c.Offerings[like]
+	}
+	now.Bind(o)
+	if t.named[at] != name {
+		t.named[at], t.rows[at] = name, e.row(name)
+		if like < 0 {
+			like = int(at)
+		}
+		e.Module.Placed(at, policy.OfferingID(like))
+		if e.Latency != nil {
+			e.Latency.Named(at, name)
+		}
+	}
+}
+
+// row is where an offering's figures are: all of one name have one. Of very many names over time the last share one.
+func (e *Engine) row(name string) int {
+	n := int(e.names.Load())
+	for i := range n {
+		if e.labels[i][0] == label(name, results[0]) {
+			return i
+		}
+	}
+	if n == len(e.labels) {
+		return n - 1
+	}
+	for r := range results {
+		e.labels[n][r] = label(name, results[r])
+	}
+	e.names.Store(int64(n) + 1)
+	return n
+}
+
+// quotas takes over those of the franchises. One that is not named any more has none, and its tickets come as nobody's.
+func (e *Engine) quotas(r *agreement.Rules) {
+	c := e.Campaign
+	c.Quotas = 0
+	for i, f := range c.Franchises {
+		if !slices.ContainsFunc(r.Franchises, func(now agreement.Franchise) bool { return now.Name == f.Name }) {
+			e.agreeing(func(front Agreeing) { front.Quotes(f.Name, policy.NoFranchise) })
+			c.Franchises[i].Quota = 0
+		}
+	}
+	for _, f := range r.Franchises {
+		at := slices.IndexFunc(c.Franchises, func(was policy.Franchise) bool { return was.Name == f.Name })
+		if at < 0 {
+			at = len(c.Franchises)
+			c.Franchises = append(c.Franchises, policy.Franchise{Name: f.Name})
+			e.Module.Quoted()
+		}
+		c.Franchises[at].Quota = f.Quota
+		c.Quotas += f.Quota
+		e.agreeing(func(front Agreeing) { front.Quotes(f.Name, policy.FranchiseID(at)) })
+	}
+}
+
+// agreed has the servers that versions name in the place of the source's own. One that not all of those name that may be in force drains.
+func (f *members) agreed(r *agreement.Rules, said []*Version) {
+	if r.Open {
+		if f.closed {
+			f.closed = false
+			f.apply(f.e.Clock.Now(), &roster.List{Kind: policy.ListFull, Entries: f.own})
+		}
+		return
+	}
+	f.closed = true
+	var all []roster.Entry
+	named := map[policy.ServerID]bool{}
+	for _, v := range said {
+		for _, e := range v.Servers {
+			if named[e.ID] {
+				continue
+			}
+			named[e.ID] = true
+			i, byAll := slices.BinarySearchFunc(r.Servers, e.ID, func(s agreement.Server, id policy.ServerID) int { return cmp.Compare(s.ID, id) })
+			if byAll {
+				e.Started = max(e.Started, r.Servers[i].Started)
+			} else if e.Standing == policy.Ready {
+				e.Standing = policy.Draining
+			}
+			all = append(all, e)
+		}
+	}
+	f.apply(f.e.Clock.Now(), &roster.List{Kind: policy.ListFull, Entries: all})
+}
+
+// keep notes what the own source tells while versions say which servers there are.
+func (f *members) keep(l *roster.List) {
+	if l.Kind != policy.ListChanges {
+		f.own = nil
+	}
+	for _, e := range l.Entries {
+		at := slices.IndexFunc(f.own, func(was roster.Entry) bool { return was.ID == e.ID })
+		switch {
+		case at >= 0 && e.Standing == policy.Gone:
+			f.own = slices.Delete(f.own, at, at+1)
+		case at >= 0:
+			f.own[at] = e
+		case e.Standing != policy.Gone:
+			f.own = append(f.own, e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/group/group.go
@@ -0,0 +1,529 @@
+// Package group keeps versions: a few keepers agree on their order by hashicorp/raft, and the one that leads grants leases on what is in force.
+// What is decided stands in internal/agreement; here stand the log, the disk and the network. docs/agreement.md.
+package group
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/raft"
+	"github.com/sirupsen/logrus"
+
+	"pepperlead/internal/agreement"
+	"pepperlead/internal/clock"
+	"pepperlead/internal/peers"
+	"pepperlead/policy"
+)
+
+// Member is one keeper, as all of them are told.
+type Member struct {
+	Name  string
+	Raft  string // address of its log
+	Pages string // address at which versions are applied and shown
+}
+
+// Post is what a keeper is told.
+type Post struct {
+	Name    string
+	Folder  string
+	Listen  string // for other keepers
+	Cluster string
+	Key     []byte
+	Members []Member // this one too
+	Lease   policy.Time
+	Drift   float64
+	Check   func(text, inForce []byte) error // whether a version can follow on another; nil: there is none
+}
+
+const (
+	// A leader is looked for after half a second of silence: shorter than a lease, so that its loss costs few of them.
+	silence   = 500 * time.Millisecond
+	leadSpan  = 400 * time.Millisecond
+	commitIn  = 20 * time.Millisecond
+	applyIn   = 5 * time.Second
+	dropEvery = 50 * time.Millisecond
+	entries   = 64 // of the log before it is folded into a snapshot
+	// A keeper whose log was damaged no longer knows whom it has voted for. It says nothing until every election of that time is long over.
+	quietFor  = 10 * time.Second
+	mostAsked = 4096 // questions that wait for one round
+	mostPages = 32   // versions being sent at once
+	tellEvery = time.Second
+)
+
+// Errors of what a keeper is asked.
+var (
+	ErrNotLeading = errors.New("another keeper leads")
+	errUnknown    = errors.New("it is not known whether the group has agreed, see what is in force")
+	errNoLeader   = errors.New("no keeper leads: most of them are not there, or cannot reach each other")
+)
+
+type question struct {
+	from  string
+	ask   uint64
+	knows []agreement.Number
+	came  policy.Time
+}
+
+// Keeper is one of the group.
+type Keeper struct {
+	post   Post
+	log    *logrus.Logger
+	raft   *raft.Raft
+	kept   kept
+	stream *stream
+	stop   chan struct{}
+	ended  sync.WaitGroup
+
+	company atomic.Pointer[peers.Company]
+
+	mu      sync.Mutex
+	book    agreement.Book
+	granter *agreement.Granter // nil: it does not lead
+	asked   []question
+	told    map[string]time.Time // when a sidecar was last sent pages
+	begun   policy.Time          // of the change under way
+
+	rung                         chan struct{}
+	room                         chan struct{}
+	grants, rounds, failed, sent atomic.Uint64
+	sentBytes, unreadable        atomic.Uint64
+}
+
+// Open begins to keep. Errors: the address or the folder cannot be used.
+func Open(p Post, log *logrus.Logger) (k *Keeper, err error) {
+	k = &Keeper{post: p, log: log, stop: make(chan struct{}), told: map[string]time.Time{}, rung: make(chan struct{}, 1),
+		room: make(chan struct{}, mostPages)}
+	quiet := quietly(log)
+	var beside string
+	if k.kept, beside, err = open(p.Folder, log, quiet); err != nil {
+		return nil, err
+	}
+	if beside != "" {
+		log.Warnf("keep: says nothing for %v, until no election is under way that it may have voted in", quietFor)
+		time.Sleep(quietFor)
+	}
+	if k.stream, err = listen(p); err != nil {
+		return nil, errors.Join(err, k.kept.Close())
+	}
+	c := raft.DefaultConfig()
+	c.LocalID, c.Logger = raft.ServerID(p.Name), quiet
+	c.HeartbeatTimeout, c.ElectionTimeout, c.LeaderLeaseTimeout, c.CommitTimeout = silence, silence, leadSpan, commitIn
+	c.SnapshotThreshold, c.TrailingLogs = entries, entries
+	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: at{k.stream, k.own()}, MaxPool: 2, Timeout: 2 * time.Second,
+		Logger: quiet})
+	if k.kept.fresh && beside == "" {
+		var servers []raft.Server
+		for _, m := range p.Members {
+			servers = append(servers, raft.Server{ID: raft.ServerID(m.Name), Address: raft.ServerAddress(m.Raft)})
+		}
+		if err := raft.BootstrapCluster(c, k.kept, k.kept, k.kept.snaps, transport, raft.Configuration{Servers: servers}); err != nil {
+			return nil, errors.Join(err, transport.Close(), k.kept.Close())
+		}
+	}
+	if k.raft, err = raft.NewRaft(c, (*pen)(k), k.kept, k.kept, k.kept.snaps, transport); err != nil {
+		return nil, errors.Join(err, transport.Close(), k.kept.Close())
+	}
+	k.ended.Go(k.lead)
+	k.ended.Go(k.answer)
+	k.ended.Go(k.drop)
+	return k, nil
+}
+
+// at is a stream under the address at which others reach it.
+type at struct {
+	*stream
+	where string
+}
+
+func (a at) Addr() net.Addr { return name(a.where) }
+
+type name string
+
+func (n name) Network() string { return "tcp" }
+func (n name) String() string  { return string(n) }
+
+func (k *Keeper) own() string {
+	i := slices.IndexFunc(k.post.Members, func(m Member) bool { return m.Name == k.post.Name })
+	return k.post.Members[i].Raft
+}
+
+// Meet tells the company by which sidecars are answered.
+func (k *Keeper) Meet(c *peers.Company) { k.company.Store(c) }
+
+// Close ends it; who leads hands that over first, so that nobody need find out.
+func (k *Keeper) Close() {
+	close(k.stop)
+	if k.raft.State() == raft.Leader && len(k.post.Members) > 1 {
+		k.raft.LeadershipTransfer().Error() // if none can take it, the others find out
+	}
+	k.raft.Shutdown().Error()
+	k.ended.Wait()
+	k.stream.Close()
+	k.kept.Close()
+}
+
+// Heard takes what a sidecar has sent; it does not wait.
+func (k *Keeper) Heard(b []byte) {
+	ears := agreement.Ears{Asked: func(from string, ask uint64, knows []agreement.Number) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.granter == nil || len(k.asked) >= mostAsked {
+			return // who leads is asked too
+		}
+		k.asked = append(k.asked, question{from, ask, knows, clock.Awake()})
+		k.ring()
+	}}
+	if !ears.Hear(b) {
+		k.unreadable.Add(1)
+	}
+}
+
+func (k *Keeper) ring() {
+	select {
+	case k.rung <- struct{}{}:
+	default:
+	}
+}
+
+// lead begins and ends this keeper's terms.
+func (k *Keeper) lead() {
+	for {
+		select {
+		case <-k.stop:
+			return
+		case leads := <-k.raft.LeaderCh():
+			k.mu.Lock()
+			k.granter, k.asked = nil, nil
+			k.mu.Unlock()
+			if !leads {
+				k.log.Info("keep: leads no more")
+				continue
+			}
+			// What earlier terms have agreed on must be known first.
+			if err := k.raft.Barrier(applyIn).Error(); err != nil {
+				continue
+			}
+			k.mu.Lock()
+			k.granter = agreement.NewGranter(agreement.Term(k.raft.CurrentTerm()), k.post.Lease, k.post.Drift, k.book.Old, k.book.New, clock.Awake())
+			k.log.Infof("keep: leads in term %d, version %d in force, %d coming", k.raft.CurrentTerm(), k.book.Old, k.book.New)
+			k.mu.Unlock()
+		}
+	}
+}
+
+// answer answers questions, all that wait by one round that confirms the term.
+func (k *Keeper) answer() {
+	for {
+		select {
+		case <-k.stop:
+			return
+		case <-k.rung:
+		}
+		k.mu.Lock()
+		asked := k.asked
+		k.asked = nil
+		k.mu.Unlock()
+		if len(asked) == 0 {
+			continue
+		}
+		begun := clock.Awake()
+		k.rounds.Add(1)
+		if k.raft.VerifyLeader().Error() != nil {
+			k.failed.Add(1)
+			continue
+		}
+		for _, q := range asked {
+			k.reply(q, begun)
+		}
+	}
+}
+
+func (k *Keeper) reply(q question, begun policy.Time) {
+	c := k.company.Load()
+	if c == nil {
+		return
+	}
+	k.mu.Lock()
+	if k.granter == nil || k.granter.Term() != agreement.Term(k.raft.CurrentTerm()) {
+		// It may have led, lost that and got it again without having heard yet: what lay between is not in this granter.
+		k.mu.Unlock()
+		return
+	}
+	k.granter.Confirmed(begun)
+	g, given := k.granter.Grant(q.ask, q.knows, q.came)
+	var lacks []agreement.Page
+	if !given && time.Since(k.told[q.from]) > tellEvery {
+		for _, p := range k.book.InForce() {
+			if !slices.Contains(q.knows, p.Number) {
+				lacks = append(lacks, p)
+			}
+		}
+		k.told[q.from] = time.Now()
+	}
+	k.mu.Unlock()
+	if given {
+		k.grants.Add(1)
+		c.Send(q.from, agreement.SayGrant(c.Own(), g)) // lost: it is asked again
+		return
+	}
+	if len(lacks) == 0 {
+		return
+	}
+	select {
+	case k.room <- struct{}{}:
+	default:
+		return // it asks again
+	}
+	go func() {
+		defer func() { <-k.room }()
+		for _, p := range lacks {
+			b := agreement.SayPage(c.Own(), p)
+			k.sent.Add(1)
+			k.sentBytes.Add(uint64(len(b)))
+			if c.SendWhole(q.from, b) != nil {
+				return
+			}
+		}
+	}()
+}
+
+// drop ends a change once no grant of the old version alone can hold.
+func (k *Keeper) drop() {
+	tick := time.NewTicker(dropEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-k.stop:
+			return
+		case <-tick.C:
+		}
+		k.mu.Lock()
+		ready, n := k.granter != nil && k.granter.Ready(clock.Awake()), k.book.New
+		k.mu.Unlock()
+		if ready {
+			k.write("drop", uint64(n)) // in vain: it is tried again
+		}
+	}
+}
+
+// write has the group agree on a line of the log.
+func (k *Keeper) write(verb string, of ...any) error {
+	b, err := cbor.Marshal(append([]any{verb}, of...))
+	if err != nil {
+		return err
+	}
+	f := k.raft.Apply(b, applyIn)
+	switch err := f.Error(); {
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipTransferInProgress):
+		return ErrNotLeading
+	case err != nil:
+		return errors.Join(errUnknown, err)
+	}
+	if err, is := f.Response().(error); is {
+		return err
+	}
+	return nil
+}
+
+// Leader is who leads, as far as this one knows.
+func (k *Keeper) Leader() (Member, error) {
+	_, id := k.raft.LeaderWithID()
+	i := slices.IndexFunc(k.post.Members, func(m Member) bool { return m.Name == string(id) })
+	if i < 0 {
+		return Member{}, errNoLeader
+	}
+	return k.post.Members[i], nil
+}
+
+// Apply proposes a text on top of the latest version that its author saw; back is the number of a version that it has the text of, or 0.
+// Errors: ErrNotLeading, why it is refused, or that its fate is not known.
+func (k *Keeper) Apply(text []byte, back, last agreement.Number, author string) (agreement.Number, error) {
+	if _, err := k.Leader(); err != nil {
+		return 0, err
+	}
+	if k.raft.State() != raft.Leader {
+		return 0, ErrNotLeading
+	}
+	if err := k.check(text, back); err != nil {
+		return 0, err
+	}
+	now := time.Now().UnixNano()
+	if err := k.write("apply", text, uint64(back), uint64(last), author, now); err != nil {
+		return 0, err
+	}
+	return last + 1, nil
+}
+
+// check tells why the text, or that of the version gone back to, cannot follow on what is in force.
+func (k *Keeper) check(text []byte, back agreement.Number) error {
+	b := k.Book()
+	var inForce []byte
+	for _, p := range b.Pages {
+		if p.Number == b.Old {
+			inForce = p.Text
+		}
+		if back > 0 && p.Number == back {
+			text = p.Text
+		}
+	}
+	return k.post.Check(text, inForce)
+}
+
+// dry tells why it would be refused.
+func (k *Keeper) dry(text []byte, back, last agreement.Number) error {
+	if err := k.check(text, back); err != nil {
+		return err
+	}
+	b := k.Book()
+	if back > 0 {
+		return b.Back(back, agreement.Page{}, last)
+	}
+	return b.Propose(agreement.Page{Text: text}, last)
+}
+
+// Withdraw ends the change to that version while it is under way.
+func (k *Keeper) Withdraw(n agreement.Number) error {
+	if k.raft.State() != raft.Leader {
+		return ErrNotLeading
+	}
+	return k.write("withdraw", uint64(n))
+}
+
+// Book is what this keeper knows to be agreed on.
+func (k *Keeper) Book() agreement.Book {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b := k.book
+	b.Pages = slices.Clone(b.Pages)
+	return b
+}
+
+// Figures hands over what is counted.
+func (k *Keeper) Figures(each func(name string, value float64, rises bool)) {
+	k.mu.Lock()
+	old, coming, leads := k.book.Old, k.book.New, k.granter != nil
+	k.mu.Unlock()
+	each("keep_version", float64(old), false)
+	each("keep_coming", float64(coming), false)
+	each("keep_leads", map[bool]float64{true: 1}[leads], false)
+	each("keep_grants", float64(k.grants.Load()), true)
+	each("keep_rounds", float64(k.rounds.Load()), true)
+	each("keep_rounds_failed", float64(k.failed.Load()), true)
+	each("keep_versions_sent", float64(k.sent.Load()), true)
+	each("keep_versions_sent_bytes", float64(k.sentBytes.Load()), true)
+	each("keep_unreadable", float64(k.unreadable.Load()), true)
+	each("keep_strangers", float64(k.stream.refused.Load()), true)
+}
+
+// pen is the keeper as raft writes by it: each line of the log in its order.
+type pen Keeper
+
+// Apply takes one line of the log.
+func (p *pen) Apply(l *raft.Log) any {
+	var parts []cbor.RawMessage
+	var verb string
+	if cbor.Unmarshal(l.Data, &parts) != nil || len(parts) == 0 || cbor.Unmarshal(parts[0], &verb) != nil {
+		return errors.New("a line of the log that cannot be read")
+	}
+	read := func(into ...any) error {
+		if len(parts) != 1+len(into) {
+			return fmt.Errorf("a line of the log with %d parts", len(parts))
+		}
+		for i := range into {
+			if err := cbor.Unmarshal(parts[1+i], into[i]); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Awake()
+	switch verb {
+	case "apply":
+		var page agreement.Page
+		var back, last agreement.Number
+		err := read(&page.Text, &back, &last, &page.Author, &page.At)
+		if err == nil && back > 0 {
+			err = p.book.Back(back, page, last)
+		} else if err == nil {
+			err = p.book.Propose(page, last)
+		}
+		if err != nil {
+			return err
+		}
+		p.begun = now
+		if p.granter != nil {
+			p.granter.Propose(p.book.New, now)
+		}
+		p.log.Infof("keep: version %d is agreed on, %d is in force too until no lease is left of it alone", p.book.New, p.book.Old)
+	case "drop":
+		var n agreement.Number
+		if err := read(&n); err != nil {
+			return err
+		}
+		if !p.book.Drop(n) {
+			return errors.New("not the change under way")
+		}
+		if p.granter != nil {
+			p.granter.Dropped()
+		}
+		p.log.Infof("keep: version %d is in force alone, %dms after it was agreed on", n, (now-p.begun)/policy.Millisecond)
+	case "withdraw":
+		var n agreement.Number
+		if err := read(&n); err != nil {
+			return err
+		}
+		if err := p.book.Withdraw(n); err != nil {
+			return err
+		}
+		if p.granter != nil {
+			p.granter.Withdrawn()
+		}
+		p.log.Infof("keep: version %d is withdrawn, %d stays in force", n, p.book.Old)
+	default:
+		return fmt.Errorf("a line of the log that is not known, %q: a newer keeper wrote it", verb)
+	}
+	return nil
+}
+
+// Snapshot is the book as it stands.
+func (p *pen) Snapshot() (raft.FSMSnapshot, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b, err := cbor.Marshal(p.book)
+	return copied(b), err
+}
+
+// Restore goes on from a snapshot.
+func (p *pen) Restore(from io.ReadCloser) error {
+	defer from.Close()
+	var book agreement.Book
+	if err := cbor.NewDecoder(from).Decode(&book); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book = book
+	return nil
+}
+
+type copied []byte
+
+// Persist writes it.
+func (c copied) Persist(to raft.SnapshotSink) error {
+	if _, err := to.Write(c); err != nil {
+		return errors.Join(err, to.Cancel())
+	}
+	return to.Close()
+}
+
+// Release has nothing to let go.
+func (copied) Release() {}
--- /dev/null
+++ b/internal/group/pages.go
@@ -0,0 +1,175 @@
+package group
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"pepperlead/internal/agreement"
+)
+
+const mostText = 4 << 20
+
+// LeaderAt is the header that names the pages of the keeper that leads, in an answer 421 (Misdirected Request, RFC 9110) of one that does not.
+const LeaderAt = "Leader"
+
+// Pages are a keeper's, over HTTP: /_versions and /_versions/N show; POST to /_apply?last=N&author=A, with &dry=yes to check alone, and with
+// &back=N for the text of a kept version; POST to /_withdraw?n=N; /metrics, /_health, /_peers.
+type Pages struct {
+	At   string
+	http http.Server
+}
+
+// Listen serves them at the address that all keepers are told.
+func Listen(k *Keeper) (*Pages, error) {
+	var at string
+	for _, m := range k.post.Members {
+		if m.Name == k.post.Name {
+			at = m.Pages
+		}
+	}
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		return nil, err
+	}
+	metrics := prometheus.NewRegistry()
+	metrics.MustRegister(figures{k}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /_versions", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, k.Report()) })
+	mux.HandleFunc("GET /_versions/{n}", k.page)
+	mux.HandleFunc("POST /_apply", k.apply)
+	mux.HandleFunc("POST /_withdraw", func(w http.ResponseWriter, r *http.Request) {
+		n, err := number(r, "n")
+		if err == nil {
+			err = k.Withdraw(n)
+		}
+		k.result(w, err, "version %d is withdrawn\n", n)
+	})
+	mux.HandleFunc("GET /_peers", func(w http.ResponseWriter, _ *http.Request) {
+		if c := k.company.Load(); c != nil {
+			io.WriteString(w, c.Report())
+		}
+	})
+	mux.HandleFunc("GET /_health", func(w http.ResponseWriter, _ *http.Request) {
+		if _, err := k.Leader(); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	p := &Pages{At: at, http: http.Server{Handler: mux, ReadTimeout: 10 * time.Second, WriteTimeout: 20 * time.Second, MaxHeaderBytes: 16 << 10}}
+	go p.http.Serve(l)
+	return p, nil
+}
+
+// Close ends them.
+func (p *Pages) Close() error { return p.http.Close() }
+
+func number(r *http.Request, of string) (agreement.Number, error) {
+	text := r.URL.Query().Get(of)
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s: found %q, allowed the number of a version", of, text)
+	}
+	return agreement.Number(n), nil
+}
+
+// apply proposes a version.
+func (k *Keeper) apply(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostText))
+	last, wrong := number(r, "last")
+	err = errors.Join(err, wrong)
+	var back agreement.Number
+	if r.URL.Query().Has("back") {
+		back, wrong = number(r, "back")
+		err = errors.Join(err, wrong)
+	}
+	if err == nil && r.URL.Query().Get("dry") == "yes" {
+		k.result(w, k.dry(text, back, last), "it could be applied on top of version %d\n", last)
+		return
+	}
+	var n agreement.Number
+	if err == nil {
+		n, err = k.Apply(text, back, last, r.URL.Query().Get("author"))
+	}
+	k.result(w, err, "version %d is agreed on\n", n)
+}
+
+func (k *Keeper) result(w http.ResponseWriter, err error, good string, of ...any) {
+	switch leader, unknown := k.Leader(); {
+	case err == nil:
+		fmt.Fprintf(w, good, of...)
+	case errors.Is(err, ErrNotLeading) && unknown == nil && leader.Name != k.post.Name:
+		w.Header().Set(LeaderAt, leader.Pages)
+		http.Error(w, err.Error(), http.StatusMisdirectedRequest)
+	case errors.Is(err, ErrNotLeading), errors.Is(err, errNoLeader), errors.Is(err, errUnknown):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
+
+// Report is the versions, one a line, the latest last.
+func (k *Keeper) Report() string {
+	b := k.Book()
+	var out strings.Builder
+	leader, err := k.Leader()
+	fmt.Fprintf(&out, "in force %d, coming %d, last %d, leader %q, lease %v\n", b.Old, b.New, b.Last, leader.Name, time.Duration(k.post.Lease))
+	if err != nil {
+		fmt.Fprintln(&out, err)
+	}
+	for _, p := range b.Pages {
+		state := p.Over
+		switch {
+		case p.Number == b.Old:
+			state = "in force"
+		case p.Number == b.New:
+			state = "coming"
+		}
+		from := ""
+		if p.From > 0 {
+			from = fmt.Sprintf(" (the text of %d)", p.From)
+		}
+		fmt.Fprintf(&out, "%d %s by %q at %s, %d bytes, sha256 %s%s\n", p.Number, state, p.Author, time.Unix(0, p.At).UTC().Format(time.RFC3339), len(p.Text),
+			hex.EncodeToString(p.Digest[:8]), from)
+	}
+	return out.String()
+}
+
+func (k *Keeper) page(w http.ResponseWriter, r *http.Request) {
+	for _, p := range k.Book().Pages {
+		if strconv.FormatUint(uint64(p.Number), 10) == r.PathValue("n") {
+			w.Write(p.Text)
+			return
+		}
+	}
+	http.Error(w, "no such version is kept", http.StatusNotFound)
+}
+
+// figures gives what is counted to Prometheus.
+type figures struct{ of *Keeper }
+
+func (figures) Describe(chan<- *prometheus.Desc) {} // unchecked: which there are is known only when asked
+
+func (f figures) Collect(to chan<- prometheus.Metric) {
+	one := func(name string, value float64, rises bool) {
+		kind, suffix := prometheus.GaugeValue, ""
+		if rises {
+			kind, suffix = prometheus.CounterValue, "_total"
+		}
+		to <- prometheus.MustNewConstMetric(prometheus.NewDesc("pepperlead_"+name+suffix, "See docs/agreement.md.", nil, nil), kind, value)
+	}
+	f.of.Figures(one)
+	if c := f.of.company.Load(); c != nil {
+		c.Figures(one)
+	}
+}
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -66,6 +66,7 @@
 	Cluster           string
 	Join              []string
 	Key               string // file
+	Agree             bool   // rules come from the cluster's keepers, and the file's own only until there are some
 }
 
 // Read reads a daemon's configuration. The error has a line for each fault. Paths in it are taken from the file's own folder.
@@ -117,11 +118,7 @@
 	}
 	in.peers(root, folder, taken)
 	in.limits(root.Table("limits"))
-	cold := root.Table("cold")
-	c.ColdShare = cold.Real("share", 0.2, 0.001, 1)
-	c.ColdTime = cold.Span("time", 24*policy.Second, 0, 3600*policy.Second)
-	c.FallMultiple = cold.Real("fall", 3, 1, 1000)
-	cold.Done()
+	in.cold(root.Table("cold"))
 	offerings := root.Tables("offering")
 	if root.Has("offering") && len(offerings) == 0 {
 		root.Fault("offering", root.Found("offering"), "one offering at least")
@@ -143,12 +140,16 @@
 	in.KeyMetadata = strings.ToLower(rpc.Text("key_metadata", ""))
 	in.KeyField = rpc.Text("key_field", "")
 	rpc.Done()
+	in.LogLevel, in.LogFormat = logging(root)
+	root.Done()
+}
+
+func logging(root *document.Table) (level, format string) {
 	log := root.Table("log")
 	levels, formats := []string{"debug", "info", "warning", "error"}, []string{"text", "json"}
-	in.LogLevel = levels[log.OneOf("level", 1, levels...)]
-	in.LogFormat = formats[log.OneOf("format", 0, formats...)]
+	level, format = levels[log.OneOf("level", 1, levels...)], formats[log.OneOf("format", 0, formats...)]
 	log.Done()
-	root.Done()
+	return level, format
 }
 
 func from(folder, path string) string {
@@ -192,6 +193,15 @@
 		}
 		p.Join = append(p.Join, at)
 	}
+	p.Agree = t.Yes("agree", false)
+	t.Done()
+}
+
+func (in *Installation) cold(t *document.Table) {
+	c := in.Campaign
+	c.ColdShare = t.Real("share", 0.2, 0.001, 1)
+	c.ColdTime = t.Span("time", 24*policy.Second, 0, 3600*policy.Second)
+	c.FallMultiple = t.Real("fall", 3, 1, 1000)
 	t.Done()
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -34,6 +34,8 @@
 	Join      []string
 	Key       []byte // 16, 24 or 32 bytes; every packet is sealed with it
 	Zone      string
+	Keeper    bool         // it keeps versions
+	Heard     func([]byte) // what another has sent to this one; must not wait. nil: nothing is heard
 }
 
 // Says is what each sidecar tells all others of itself.
@@ -42,6 +44,7 @@
 	Since   int64  `cbor:"2,keyasint"` // Unix time of its start, in nanoseconds
 	Version uint64 `cbor:"3,keyasint"` // of the rules in force; 0: its own file's
 	Table   uint64 `cbor:"4,keyasint"` // digest of its slot table
+	Keeper  bool   `cbor:"5,keyasint"` // it keeps versions, and serves nobody
 }
 
 // Peer is one sidecar as this one knows it.
@@ -99,7 +102,7 @@
 
 // Open listens, and seeks those that are to be joined from then on. It waits for none of them.
 func Open(p Post, log *logrus.Logger) (*Company, error) {
-	c := &Company{post: p, log: log, stop: make(chan struct{}), peers: map[string]*Peer{}, says: Says{Zone: p.Zone, Since: time.Now().UnixNano()}}
+	c := &Company{post: p, log: log, stop: make(chan struct{}), peers: map[string]*Peer{}, says: Says{Zone: p.Zone, Since: time.Now().UnixNano(), Keeper: p.Keeper}}
 	conf := memberlist.DefaultLANConfig()
 	conf.Name, conf.Label, conf.SecretKey = p.Name, p.Cluster, p.Key
 	conf.Logger = quiet(log)
@@ -157,8 +160,7 @@
 func (c *Company) missing(now time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	own := cmp.Or(c.post.Advertise, c.post.Listen)
-	wanted, there := slices.Clone(c.post.Join), map[string]bool{own: true}
+	wanted, there := slices.Clone(c.post.Join), map[string]bool{c.Own(): true}
 	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
 		switch p := c.peers[name]; {
 		case p.Alive:
@@ -189,7 +191,43 @@
 }
 
 // Alive is how many sidecars are there, this one among them.
-func (c *Company) Alive() int { return c.list.NumMembers() }
+func (c *Company) Alive() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		if p.Alive && !p.Keeper {
+			n++
+		}
+	}
+	return n
+}
+
+// Keepers are the addresses of those that keep versions, also such as are held to be gone: that may be a mistake.
+func (c *Company) Keepers() (at []string) {
+	for _, p := range c.All() {
+		if p.Keeper {
+			at = append(at, p.Address)
+		}
+	}
+	return at
+}
+
+// Own is where others reach this one.
+func (c *Company) Own() string { return cmp.Or(c.post.Advertise, c.post.Listen) }
+
+// Send sends a few bytes to the one at that address; they may be lost, or come twice.
+func (c *Company) Send(to string, b []byte) error {
+	return c.list.SendToAddress(memberlist.Address{Addr: to}, b)
+}
+
+// SendWhole sends any number of bytes, and waits until they are on their way.
+func (c *Company) SendWhole(to string, b []byte) error {
+	at, err := net.ResolveTCPAddr("tcp", to)
+	if err != nil {
+		return err
+	}
+	return c.list.SendReliable(&memberlist.Node{Addr: at.IP, Port: uint16(at.Port)}, b)
+}
 
 // All are the sidecars known, this one too, by name; those that have gone for a while longer.
 func (c *Company) All() (all []Peer) {
@@ -214,6 +252,9 @@
 		if p.Name == c.post.Name {
 			heard = 0
 		}
+		if p.Keeper {
+			state += " keeper"
+		}
 		fmt.Fprintf(&b, "%s %s zone=%q %s up=%.0fs heard=%.0fs version=%d table=%016x\n", p.Name, p.Address, p.Zone, state,
 			now.Sub(time.Unix(0, p.Since)).Seconds(), heard.Seconds(), p.Version, p.Table)
 	}
@@ -315,8 +356,14 @@
 	c.log.Warnf("peers: %s is the name of %s, and of %s, which is left out", is.Name, is.Address(), other.Address())
 }
 
+// NotifyMsg is told of what another has sent. The bytes are memberlist's again after it.
+func (c *Company) NotifyMsg(b []byte) {
+	if c.post.Heard != nil {
+		c.post.Heard(slices.Clone(b))
+	}
+}
+
 func (c *Company) AckPayload() []byte              { return nil }
-func (c *Company) NotifyMsg([]byte)                {}
 func (c *Company) GetBroadcasts(_, _ int) [][]byte { return nil }
 func (c *Company) LocalState(bool) []byte          { return nil }
 func (c *Company) MergeRemoteState([]byte, bool)   {}
--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -145,7 +145,7 @@
 	named, mark := len(id) > 0, xxhash.Sum64(id)
 	refuse := func(status int, why string) {
 		if known {
-			s.Tally.Count(offering, engine.Failed)
+			s.Count(offering, engine.Failed)
 		}
 		c.Upload = state.NoUpload
 		s.bad(now, c, status, why)
@@ -177,7 +177,7 @@
 	case s.buffers.Full():
 		// Out of memory: an answer costs nothing, the ticket might cost the process. Nothing has been pushed, so coming
 		// again is harmless.
-		s.Tally.Count(offering, engine.Rejected)
+		s.Count(offering, engine.Rejected)
 		s.buffers.Put(buf)
 		s.overflow(now, c)
 		return
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -53,6 +53,9 @@
 	case c.Server.Of.Leaving:
 		// The server was ready when this was dialled and is not any more: it gets nothing new.
 		s.endPush(now, c.Ticket, policy.NotConnected, false)
+	case !s.Stands(now, c.Ticket.Ticket):
+		// The rules have changed since: what was decided then may not be done now.
+		s.endPush(now, c.Ticket, policy.NotSent, true)
 	default:
 		s.send(now, c.Ticket)
 	}
--- a/policy/knowledge.go
+++ b/policy/knowledge.go
@@ -94,3 +94,35 @@
 	b.tendAt = 0
 	b.tend(now)
 }
+
+// Placed is told of an offering that is new at its place in the campaign, and like which its answers are likely to be: another's, or at itself.
+func (b *Balancer) Placed(at, like OfferingID) {
+	for len(b.usual) < len(b.campaign.Offerings) {
+		b.usual, b.patience = append(b.usual, 0), append(b.patience, patience{})
+	}
+	b.usual[at], b.patience[at] = b.usual[like], b.patience[like]
+	if like == at {
+		b.usual[at] = float64(b.campaign.Offerings[at].Quoted) / 4
+	}
+}
+
+// Quoted is told that the campaign has more franchises than before.
+func (b *Balancer) Quoted() {
+	for len(b.use) < len(b.campaign.Franchises) {
+		b.use = append(b.use, meter{})
+	}
+}
+
+// Stands tells whether the ticket's latest push, decided on and not yet written, is still allowed: rules may have changed since. What did
+// not leave is told by NotSent.
+func (b *Balancer) Stands(now Time, h Handle) bool {
+	t := b.held(h)
+	if t == nil || t.pushes == 0 {
+		return false
+	}
+	t.pushes--
+	p := t.tried[t.pushes%len(t.tried)]
+	allowed := b.allowed(now, t, p) && (b.campaign.FallMultiple > 0 || !b.cold(now, &b.servers[p]))
+	t.pushes++
+	return allowed
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -620,7 +620,7 @@
 	share := c.ColdShare + (1-c.ColdShare)*float64(now-s.Started)/float64(c.ColdTime)
 	grow := max(0.25/float64(c.Sidecars), c.FallMultiple*share*shortOfHit*b.borne*b.worksAs(s),
 		c.FallMultiple*coldEarns*s.served.now(now))
-	s.budget, s.budgetAt = min(1, s.budget+grow*float64(now-s.budgetAt)/float64(Second)), now
+	s.budget, s.budgetAt = min(1, c.FallMultiple, s.budget+grow*float64(now-s.budgetAt)/float64(Second)), now
 	return s.budget
 }
 
