Drills of a cluster whose rules change while things break, and a judge

Need: proof by several processes with faults between them. drills/*.toml: sidecars, keepers, stand-in servers and clients; changes, partitions, one-way cuts, weather, stalls, kills, damaged and full disks, clocks that are ahead, slow or stand still, at a time or once so many act by a version; moments and who it strikes differ by seed. internal/drill/judge shares no code with what it judges: it reads what sidecars write of each ticket and push, what servers did and clients got; planted histories show that it finds contradictions, repeats that a version forbids, repeats without a lease, servers not named, answers lost or late. A keeper whose disk is full ends itself, as raft must not act on what it has not written; the others go on.

--- a/cmd/pepperlab/drill.go
+++ b/cmd/pepperlab/drill.go
@@ -14,7 +14,7 @@
 
 func drillCommand() *cobra.Command {
 	c := &cobra.Command{Use: "drill", Short: "Start several processes of the program and break what lies between them"}
-	c.AddCommand(drillPeersCommand())
+	c.AddCommand(drillPeersCommand(), drillPlayCommand())
 	return c
 }
 
--- /dev/null
+++ b/internal/drill/cluster.go
@@ -0,0 +1,241 @@
+package drill
+
+import (
+	"encoding/base64"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"pepperlead/internal/clock"
+	"pepperlead/internal/drill/judge"
+	"pepperlead/internal/links"
+	"pepperlead/internal/standin"
+)
+
+// Cluster is a stage with sidecars, keepers of versions, servers and clients.
+type Cluster struct {
+	*Stage
+	script   *Script
+	sidecars []*Process
+	keepers  []*Process
+	servers  []*standin.Server
+	chance   *rand.Rand
+	front    int
+	inForce  int // version
+	last     int // given out
+	led      *Process
+	client   http.Client
+	asking   sync.WaitGroup
+	quiet    chan struct{} // closed: clients ask no more
+
+	mu    sync.Mutex
+	ran   []judge.Ran
+	asked []judge.Asked
+	down  []judge.Down
+	since map[*Process]int64 // that stand still or are not there
+}
+
+const (
+	cutOff   = 2 * time.Second // of the drills' offering
+	quoted   = 500 * time.Millisecond
+	work     = 20 * time.Millisecond
+	answerIn = cutOff + 3*time.Second
+)
+
+// BeginCluster starts all processes at once. The caller ends them by Close, also after an error.
+func BeginCluster(program, dir string, script *Script, seed uint64) (*Cluster, error) {
+	c := &Cluster{Stage: &Stage{Links: links.New(seed), dir: dir, program: program, asks: http.Client{Timeout: 2 * time.Second}}, script: script,
+		chance: rand.New(rand.NewPCG(seed, 1)), quiet: make(chan struct{}), since: map[*Process]int64{}}
+	c.client = http.Client{Timeout: answerIn, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Second}}
+	key := base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf("%016x", seed)))
+	if err := os.WriteFile(filepath.Join(dir, "key"), []byte(key), 0o600); err != nil {
+		return c, err
+	}
+	front, pages, meets, err := c.ports()
+	if err != nil {
+		return c, err
+	}
+	c.front = front
+	source, err := c.serve(seed)
+	if err != nil {
+		return c, err
+	}
+	logs, err := freePort(own(most))
+	if err != nil {
+		return c, err
+	}
+	var members, join strings.Builder
+	for k := range script.Keepers {
+		fmt.Fprintf(&members, "[[keeper]]\nname = \"k%d\"\nlog = \"%s:%d\"\npages = \"%s:%d\"\n", k+1, reached(most+k), logs, own(most+k), pages)
+		fmt.Fprintf(&join, "%q, ", fmt.Sprintf("%s:%d", reached(most+k), meets))
+	}
+	for i := range script.Sidecars + script.Keepers {
+		name, at, verb := fmt.Sprint("n", i+1), i, "serve"
+		if k := i - script.Sidecars; k >= 0 {
+			name, at, verb = fmt.Sprint("k", k+1), most+k, "keep"
+		}
+		one := c.process(name, verb, fmt.Sprintf("%s:%d", own(at), pages))
+		one.clock = script.Clocks[name]
+		listen, door, err := c.meet(one.Name, at, meets)
+		if err != nil {
+			return c, err
+		}
+		text := fmt.Sprintf("[instance]\nname = %q\n", name)
+		if verb == "keep" {
+			c.keepers = append(c.keepers, one)
+			if _, err := c.Links.TCP(fmt.Sprintf("%s:%d", reached(at), logs), one.Name, fmt.Sprintf("%s:%d", own(at), logs)); err != nil {
+				return c, err
+			}
+			text += fmt.Sprintf("[keep]\nfolder = %q\nlisten = \"%s:%d\"\nlease = %q\n%s", name+".kept", own(at), logs, script.Lease, members.String())
+		} else {
+			c.sidecars = append(c.sidecars, one)
+			text += fmt.Sprintf("instances = %d\nseed = \"%x\"\n[front.http]\nlisten = \"%s:%d\"\n[pages]\nlisten = %q\n", script.Sidecars,
+				seed*1000+uint64(i), own(at), front, one.pages) + offering(script.Versions[0]) + "[source]\nkind = \"fixed\"\n" +
+				strings.ReplaceAll(source(nil), "[[server]]", "[[source.server]]") + "[log]\nlevel = \"debug\"\nformat = \"json\"\n"
+		}
+		text += fmt.Sprintf("[peers]\nlisten = %q\nadvertise = %q\ncluster = \"drill\"\nkey_file = \"key\"\njoin = [%s]\n", listen, door,
+			strings.TrimSuffix(join.String(), ", "))
+		if verb == "serve" {
+			text += "agree = true\n"
+		}
+		if err := os.WriteFile(one.config(), []byte(text), 0o600); err != nil {
+			return c, err
+		}
+	}
+	for _, v := range script.Versions {
+		text := fmt.Sprintf("# %s\n[fleet]\ninstances = %d\n", v.Name, script.Sidecars) + offering(v)
+		if v.Servers != nil {
+			text += source(v.Servers)
+		}
+		if err := os.WriteFile(filepath.Join(dir, v.Name+".version"), []byte(text), 0o600); err != nil {
+			return c, err
+		}
+	}
+	for _, one := range c.Processes {
+		if err := one.Start(); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+func freePort(ip string) (int, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+// offering is what all versions say of it, but for how it may be repeated.
+func offering(v Version) string {
+	text := fmt.Sprintf("[[offering]]\nname = \"step\"\nquoted_time = \"%v\"\ncut_off = \"%v\"\nrepeats = %q\n", quoted, cutOff, v.Repeats)
+	if v.Repeats == "numbered" {
+		text += fmt.Sprintf("group = \"all\"\nwindow = \"%v\"\n", v.Window)
+	}
+	return text
+}
+
+// serve starts the servers, which write down what they do. source lists some of them, nil: all.
+func (c *Cluster) serve(seed uint64) (source func(names []string) string, err error) {
+	lines := map[string]string{}
+	var all []string
+	for i := range c.script.Servers {
+		name := fmt.Sprint("s", i+1)
+		s, err := standin.Start("127.8.0.1:0", standin.Traits{Name: name, Cores: 64, Queue: 1000, Work: work, Faults: standin.Faults{Resets: c.script.Resets},
+			Seed: seed + uint64(i), Seen: func(id, _ string, _ time.Time) {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.ran = append(c.ran, judge.Ran{ID: id, Server: name, At: int64(clock.True())})
+			}})
+		if err != nil {
+			return nil, err
+		}
+		c.servers = append(c.servers, s)
+		lines[name] = fmt.Sprintf("[[server]]\nid = %q\naddress = %q\n", name, s.Addr())
+		all = append(all, name)
+	}
+	return func(names []string) (text string) {
+		if names == nil {
+			names = all
+		}
+		for _, name := range names {
+			text += lines[name]
+		}
+		return text
+	}, nil
+}
+
+// ask has clients ask each sidecar until the drill is over.
+func (c *Cluster) ask() {
+	if c.script.Rate == 0 {
+		return
+	}
+	for i, p := range c.sidecars {
+		gap := rand.New(rand.NewPCG(uint64(i), 2))
+		c.asking.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-c.quiet:
+					return
+				case <-time.After(time.Duration(gap.ExpFloat64() / c.script.Rate * float64(time.Second))):
+				}
+				id := string(p.Name) + "-" + strconv.Itoa(n)
+				c.asking.Go(func() { c.one(p, id, fmt.Sprintf("http://%s:%d/step", own(i), c.front)) })
+			}
+		})
+	}
+}
+
+// one request, whose client writes down what became of it.
+func (c *Cluster) one(p *Process, id, at string) {
+	r, _ := http.NewRequest(http.MethodPost, at, strings.NewReader("x"))
+	r.Header.Set("X-Request-ID", id)
+	r.Header.Set("Idempotency-Key", id)
+	r.GetBody = nil // so that it is never sent again by itself
+	a := judge.Asked{ID: id, Process: string(p.Name), At: int64(clock.True())}
+	if answer, err := c.client.Do(r); err == nil {
+		a.Status = answer.StatusCode
+		answer.Body.Close()
+	}
+	a.Ended = int64(clock.True())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = append(c.asked, a)
+}
+
+// out notes that a process stands still or is not there, or (over) that it is again. After that it may still owe answers of before.
+func (c *Cluster) out(p *Process, over bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	from, was := c.since[p]
+	switch now := int64(clock.True()); {
+	case over && was:
+		c.down = append(c.down, judge.Down{Process: string(p.Name), From: from, To: now + int64(answerIn)})
+		delete(c.since, p)
+	case !over && !was:
+		c.since[p] = now
+	}
+}
+
+// Close ends all.
+func (c *Cluster) Close() {
+	select {
+	case <-c.quiet:
+	default:
+		close(c.quiet)
+	}
+	c.Stage.Close()
+	c.asking.Wait()
+	for _, s := range c.servers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/internal/drill/judge/judge_test.go
@@ -0,0 +1,60 @@
+package judge
+
+import (
+	"testing"
+	"time"
+)
+
+func acts(process string, at time.Duration, leased bool, of ...int) Acts {
+	return Acts{Process: process, Of: of, Leased: leased, At: int64(at)}
+}
+
+func push(id, server string, no int, by Acts) Step {
+	return Step{Acts: by, ID: id, Server: server, No: no}
+}
+
+const second = time.Second
+
+// Each history breaks one thing, and the judge must find just that.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	versions := map[int]Version{0: {Repeats: "at-most-once"}, 1: {Repeats: "reissuable"}, 2: {Repeats: "numbered", Window: second},
+		3: {Repeats: "at-most-once", Servers: []string{"a"}}}
+	twice := []Ran{{"x", "a", int64(2 * second)}, {"x", "b", int64(3 * second)}}
+	for what, one := range map[string]struct {
+		h       History
+		broken  int
+		against time.Duration
+	}{
+		"nothing": {h: History{Steps: []Step{push("x", "a", 0, acts("p", second, true, 1)), push("y", "a", 0, acts("q", 2*second, true, 1, 2)),
+			push("z", "a", 0, acts("p", 3*second, true, 2))}}},
+		"older alone after newer alone": {h: History{Steps: []Step{push("x", "a", 0, acts("p", second, true, 2)),
+			push("y", "a", 0, acts("q", 3*second, true, 1))}}, against: 2 * second},
+		"the same by one process, which a rollback may": {h: History{Steps: []Step{push("x", "a", 0, acts("p", second, true, 1, 2)),
+			push("y", "a", 0, acts("p", 3*second, true, 1))}}},
+		"backwards": {broken: 1, h: History{Steps: []Step{push("x", "a", 0, acts("p", second, true, 3)),
+			push("y", "a", 0, acts("p", 3*second, true, 1))}}},
+		"twice where all allow": {h: History{Ran: twice, Steps: []Step{push("x", "", 0, acts("p", second, true, 1)),
+			push("x", "a", 0, acts("p", second, true, 1)), push("x", "b", 1, acts("p", 2500*time.Millisecond, true, 1))}}},
+		"twice under a version that forbids it": {broken: 1, h: History{Ran: twice, Steps: []Step{push("x", "", 0, acts("p", second, true, 1)),
+			push("x", "a", 0, acts("p", second, true, 1)), push("x", "b", 1, acts("p", 2500*time.Millisecond, true, 0, 1))}}},
+		"twice though the version that let it in forbids it": {broken: 1, h: History{Ran: twice, Steps: []Step{
+			push("x", "", 0, acts("p", second, true, 0)), push("x", "a", 0, acts("p", second, true, 0, 1)),
+			push("x", "b", 1, acts("p", 2500*time.Millisecond, true, 1))}}},
+		"twice beyond the window": {broken: 1, h: History{Ran: []Ran{twice[0], {"x", "b", int64(5 * second)}}, Steps: []Step{
+			push("x", "a", 0, acts("p", second, true, 2)), push("x", "b", 1, acts("p", 4*second, true, 2))}}},
+		"again without a lease": {broken: 1, h: History{Ran: twice[:1], Steps: []Step{push("x", "a", 0, acts("p", second, true, 1)),
+			push("x", "b", 1, acts("p", 2500*time.Millisecond, false, 1))}}},
+		"ran, and nobody sent it":    {broken: 1, h: History{Ran: twice, Steps: []Step{push("x", "a", 0, acts("p", second, true, 1))}}},
+		"a server that is not named": {broken: 1, h: History{Steps: []Step{push("x", "b", 0, acts("p", second, true, 3))}}},
+		"no answer":                  {broken: 1, h: History{Asked: []Asked{{ID: "x", Process: "p", At: 1, Ended: int64(second)}}}},
+		"no answer of one that died": {h: History{Asked: []Asked{{ID: "x", Process: "p", At: 1, Ended: int64(second)}},
+			Down: []Down{{"p", 5, 6}}}},
+		"an answer after the cut-off": {broken: 1, h: History{CutOff: second, Slack: second / 10,
+			Asked: []Asked{{ID: "x", Process: "p", At: 0, Ended: int64(2 * second), Status: 200}}}},
+	} {
+		one.h.Versions = versions
+		if v := Judge(&one.h); v.Broken != one.broken || v.Contradiction != one.against {
+			t.Errorf("%s: %+v", what, v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/drill/play.go
@@ -0,0 +1,465 @@
+package drill
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"pepperlead/internal/clock"
+	"pepperlead/internal/drill/judge"
+	"pepperlead/internal/links"
+)
+
+// Applied is one change that a drill made.
+type Applied struct {
+	Version string
+	Number  int
+	At      float64 // seconds since the begin
+	Agreed  float64 // seconds until the group had agreed on it
+	// Seconds until sidecars acted by it, also by it and the one before, and until they acted by it alone; of those that were there.
+	P50, P99, Most, Alone float64
+	Failed                string
+}
+
+// Result is what a play of a drill showed.
+type Result struct {
+	Drill      string
+	Seed       uint64
+	Verdict    *judge.Verdict
+	Applied    []Applied
+	Converged  float64 // seconds after all was healed until all acted by the same version with a lease
+	Unleased   float64 // seconds without a lease, over all sidecars
+	OwnDelay   float64 // seconds that a relay took for itself, 99th percentile
+	Late       float64 // seconds by which the latest look at the clock came late
+	Void       bool    // the machine stood still for longer than the lease: no figure means anything
+	Failed     []string
+	Packets    float64 // a second, one sidecar
+	Bytes, CPU float64
+	History    *judge.History `json:"-"`
+	Begun      int64          `json:"-"`
+	Marks      []Mark         `json:"-"`
+}
+
+// Mark is something that was done.
+type Mark struct {
+	At   int64
+	What string
+}
+
+// Good tells whether the drill showed what it is to show.
+func (r *Result) Good(s *Script) bool {
+	if s.Contradicts {
+		return r.Verdict.Contradiction > s.AgreeWithin
+	}
+	return !r.Void && len(r.Failed) == 0 && r.Verdict.Broken == 0 && r.Verdict.Contradiction <= s.AgreeWithin
+}
+
+const (
+	startIn    = 40 * time.Second
+	convergeIn = 45 * time.Second
+	settleFor  = 500 * time.Millisecond
+)
+
+// Play starts a cluster, does to it what the script says, heals it, and judges.
+func Play(ctx context.Context, program, dir string, s *Script, seed uint64) (r *Result, err error) {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	late := clockLateness(ctx)
+	c, err := BeginCluster(program, dir, s, seed)
+	defer c.Close()
+	if err != nil {
+		return nil, err
+	}
+	r = &Result{Seed: seed}
+	if err := c.leased(ctx, startIn); err != nil {
+		return nil, fmt.Errorf("at the start: %w", err)
+	}
+	before := sums(c.sidecars)
+	r.Begun = int64(clock.True())
+	begin := time.Now()
+	c.ask()
+	var changes sync.WaitGroup
+	half := c.chance.Perm(len(c.sidecars))
+	for _, d := range s.Doings {
+		c.await(ctx, begin, d)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		r.Marks = append(r.Marks, Mark{int64(clock.True()), d.What + " " + strings.Join(append(append(d.Who, d.From...), d.Version), " ")})
+		c.do(ctx, d, half, r, &changes, begin)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(s.Seconds - time.Since(begin)):
+	}
+	changes.Wait()
+	healed := time.Now()
+	c.Links.Heal()
+	for _, p := range c.Processes {
+		c.resume(p)
+	}
+	r.Marks = append(r.Marks, Mark{int64(clock.True()), "all is healed"})
+	for _, p := range c.Processes {
+		if log, _ := os.ReadFile(p.Log); strings.Contains(string(log), "panic: ") && !p.filled {
+			r.Failed = append(r.Failed, string(p.Name)+" has crashed")
+		}
+	}
+	if err := c.standing(); err != nil {
+		r.Failed = append(r.Failed, err.Error())
+	}
+	if err := c.leased(ctx, convergeIn); err != nil && !s.Contradicts {
+		r.Failed = append(r.Failed, "at the end: "+err.Error())
+	}
+	r.Converged = time.Since(healed).Seconds()
+	time.Sleep(settleFor)
+	close(c.quiet)
+	c.asking.Wait()
+	after, share := sums(c.sidecars), 1/time.Since(begin).Seconds()/float64(len(c.sidecars))
+	r.Packets, r.Bytes, r.CPU = (after[0]-before[0])*share, (after[1]-before[1])*share, (after[2]-before[2])*share
+	h := &judge.History{CutOff: cutOff, Slack: 250*time.Millisecond + late()}
+	if err := errors.Join(c.meant(h), c.written(h)); err != nil {
+		return nil, err
+	}
+	for _, p := range c.Processes {
+		c.out(p, true)
+	}
+	h.Ran, h.Asked, h.Down = c.ran, c.asked, c.down
+	r.History, r.Verdict = h, judge.Judge(h)
+	r.OwnDelay, r.Late = c.Links.Own(99).Seconds(), late().Seconds()
+	lease, _ := time.ParseDuration(s.Lease)
+	r.Void = r.Late > lease.Seconds()
+	r.spread(h)
+	return r, nil
+}
+
+// await waits for the moment of a doing, which differs a little by seed.
+func (c *Cluster) await(ctx context.Context, begin time.Time, d Doing) {
+	var jitter time.Duration
+	if c.script.Jitter > 0 {
+		jitter = time.Duration(c.chance.Int64N(int64(c.script.Jitter)))
+	}
+	pause := func(d time.Duration) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(d):
+		}
+	}
+	if d.At >= 0 {
+		pause(d.At + jitter - time.Since(begin))
+		return
+	}
+	for end := time.Now().Add(convergeIn); ctx.Err() == nil && time.Now().Before(end); pause(10 * time.Millisecond) {
+		n := 0
+		for _, p := range c.sidecars {
+			if p.Figure("pepperlead_rules_version") >= float64(d.Number) {
+				n++
+			}
+		}
+		if float64(n) >= math.Ceil(d.Share*float64(len(c.sidecars))) {
+			break
+		}
+	}
+	pause(d.After)
+}
+
+// keeper is one that answers.
+func (c *Cluster) keeper() *Process {
+	for _, k := range c.keepers {
+		if k.Runs() && !k.still {
+			return k
+		}
+	}
+	return c.keepers[0]
+}
+
+// standing notes the number of the latest version.
+func (c *Cluster) standing() error {
+	var inForce, coming, last int
+	var err error
+	for end := time.Now().Add(convergeIn); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		err = errors.New("the keepers do not answer")
+		c.keeper().page("/_versions", func(line string) {
+			if strings.HasPrefix(line, "in force") {
+				_, err = fmt.Sscanf(line, "in force %d, coming %d, last %d,", &inForce, &coming, &last)
+			}
+		})
+		if err == nil && inForce == coming {
+			c.inForce, c.last = inForce, last
+			return nil
+		}
+	}
+	return errors.Join(err, errors.New("a change is under way without end"))
+}
+
+// leased waits until every sidecar has a lease on the version in force.
+func (c *Cluster) leased(ctx context.Context, within time.Duration) error {
+	var why string
+	for end := time.Now().Add(within); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		why = ""
+		for _, p := range c.sidecars {
+			if v, l := p.Figure("pepperlead_rules_version"), p.Figure("pepperlead_rules_leased"); int(v) != c.inForce || l != 1 {
+				why = fmt.Sprintf("%s goes by version %.0f, lease %.0f; in force is %d", p.Name, v, l, c.inForce)
+				break
+			}
+		}
+		if why == "" {
+			return nil
+		}
+	}
+	return errors.New(why)
+}
+
+// resume has a process go on, or starts it.
+func (c *Cluster) resume(p *Process) error {
+	p.Stall(false)
+	defer c.out(p, true)
+	if !p.Runs() {
+		return p.Start()
+	}
+	return nil
+}
+
+// who finds the processes that a script means.
+func (c *Cluster) who(names []string, half []int) (some []*Process) {
+	for _, name := range names {
+		k := (len(half) + 1) / 2
+		switch name {
+		case "sidecars":
+			some = append(some, c.sidecars...)
+		case "keepers":
+			some = append(some, c.keepers...)
+		case "all":
+			some = append(some, c.Processes...)
+		case "one", "another":
+			some = append(some, c.sidecars[half[map[string]int{"one": 0, "another": len(half) - 1}[name]]])
+		case "half", "others":
+			for _, i := range map[string][]int{"half": half[:k], "others": half[k:]}[name] {
+				some = append(some, c.sidecars[i])
+			}
+		case "leader", "followers":
+			leader := c.leader()
+			for _, k := range c.keepers {
+				if (k == leader) == (name == "leader") {
+					some = append(some, k)
+				}
+			}
+		default:
+			for _, p := range c.Processes {
+				if string(p.Name) == name {
+					some = append(some, p)
+				}
+			}
+		}
+	}
+	return some
+}
+
+// leader is the keeper that leads; it was noted last where none is known to.
+func (c *Cluster) leader() *Process {
+	c.keeper().page("/_versions", func(line string) {
+		_, text, _ := strings.Cut(line, "leader \"")
+		text, _, _ = strings.Cut(text, "\"")
+		for _, k := range c.keepers {
+			if string(k.Name) == text {
+				c.led = k
+			}
+		}
+	})
+	if c.led == nil {
+		return c.keepers[0]
+	}
+	return c.led
+}
+
+func places(of []*Process) (all []links.Place) {
+	for _, p := range of {
+		all = append(all, p.Name)
+	}
+	return all
+}
+
+func (c *Cluster) do(ctx context.Context, d Doing, half []int, r *Result, changes *sync.WaitGroup, begin time.Time) {
+	who := c.who(d.Who, half)
+	fail := func(err error) {
+		if err != nil {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			r.Failed = append(r.Failed, d.What+": "+err.Error())
+		}
+	}
+	switch d.What {
+	case "apply", "rollback", "withdraw":
+		at := c.keeper()
+		if len(who) > 0 {
+			at = who[0]
+		}
+		changes.Go(func() { c.change(ctx, d, at, r, begin) })
+	case "part":
+		c.Links.Part(places(c.who(d.From, half)), places(c.who(d.To, half)))
+	case "cut":
+		for _, a := range c.who(d.From, half) {
+			for _, b := range c.who(d.To, half) {
+				c.Links.Set(links.Way{From: a.Name, To: b.Name}, links.State{Cut: true})
+			}
+		}
+	case "weather":
+		for _, a := range c.Processes {
+			for _, b := range c.Processes {
+				if a != b {
+					c.Links.Set(links.Way{From: a.Name, To: b.Name}, links.State{Drop: d.Drop, Twice: d.Twice, Delay: d.Delay, Spread: d.Spread})
+				}
+			}
+		}
+	case "heal":
+		c.Links.Heal()
+	case "stall":
+		for _, p := range who {
+			c.out(p, false)
+			p.Stall(true)
+		}
+	case "go", "start":
+		for _, p := range who {
+			fail(c.resume(p))
+		}
+	case "kill":
+		for _, p := range who {
+			c.out(p, false)
+		}
+		var all sync.WaitGroup
+		for _, p := range who {
+			all.Go(p.Kill)
+		}
+		all.Wait()
+	case "fill-disk":
+		for _, p := range who {
+			fail(p.full())
+		}
+	case "damage":
+		for _, p := range who {
+			fail(p.damage())
+		}
+	}
+}
+
+// change runs the program's own command.
+func (c *Cluster) change(ctx context.Context, d Doing, at *Process, r *Result, begin time.Time) {
+	args := []string{"apply", filepath.Join(c.dir, d.Version+".version"), "--wait", "30s"}
+	switch d.What {
+	case "rollback":
+		args = []string{"rollback", strconv.Itoa(d.Of), "--wait", "30s"}
+	case "withdraw":
+		args = []string{"withdraw", strconv.Itoa(d.Of)}
+	}
+	args = append(args, "--to", at.pages)
+	a := Applied{Version: d.Version, At: time.Since(begin).Seconds()}
+	if a.Version == "" {
+		a.Version = strings.Join(args[:2], " ")
+	}
+	start := time.Now()
+	c.mu.Lock()
+	r.Applied = append(r.Applied, a)
+	mine := len(r.Applied) - 1
+	c.mu.Unlock()
+	if d.MayFail {
+		within, done := context.WithTimeout(ctx, 5*time.Second)
+		defer done()
+		ctx = within
+	}
+	said, err := exec.CommandContext(ctx, c.program, args...).CombinedOutput()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fmt.Sscanf(string(said), "version %d", &r.Applied[mine].Number)
+	r.Applied[mine].Agreed = time.Since(start).Seconds()
+	if err != nil {
+		r.Applied[mine].Failed = strings.TrimSpace(string(said)) + " " + err.Error()
+		if !d.MayFail {
+			r.Failed = append(r.Failed, strings.Join(args, " ")+": "+r.Applied[mine].Failed)
+		}
+	}
+}
+
+// spread finds how long each change took to reach the sidecars that were there, and how long they had no lease.
+func (r *Result) spread(h *judge.History) {
+	there := map[string]bool{}
+	for _, a := range h.Changes {
+		there[a.Process] = true
+	}
+	for i := range r.Applied {
+		a := &r.Applied[i]
+		if a.Number == 0 || a.Failed != "" || strings.HasPrefix(a.Version, "withdraw") {
+			continue
+		}
+		any, alone := map[string]int64{}, map[string]int64{}
+		for _, one := range h.Changes {
+			if !one.Leased || !slices.Contains(one.Of, a.Number) {
+				continue
+			}
+			if at, is := any[one.Process]; !is || one.At < at {
+				any[one.Process] = one.At
+			}
+			if at, is := alone[one.Process]; len(one.Of) == 1 && (!is || one.At < at) {
+				alone[one.Process] = one.At
+			}
+		}
+		from := r.Begun + int64(a.At*1e9)
+		var took []float64
+		for p, at := range any {
+			if !slices.ContainsFunc(h.Down, func(d judge.Down) bool { return d.Process == p && d.To-int64(answerIn) > from && d.From < at }) {
+				took = append(took, float64(at-from)/1e9)
+			}
+		}
+		slices.Sort(took)
+		if n := len(took); n > 0 {
+			a.P50, a.P99, a.Most = took[n/2], took[min(n-1, n*99/100)], took[n-1]
+		}
+		for p, at := range alone {
+			if !slices.ContainsFunc(h.Down, func(d judge.Down) bool { return d.Process == p && d.To-int64(answerIn) > from && d.From < at }) {
+				a.Alone = max(a.Alone, float64(at-from)/1e9)
+			}
+		}
+	}
+	off := map[string]int64{}
+	for _, a := range h.Changes {
+		switch from, is := off[a.Process]; {
+		case !a.Leased && !is && a.At > r.Begun:
+			off[a.Process] = a.At
+		case a.Leased && is:
+			r.Unleased += float64(a.At-from) / 1e9
+			delete(off, a.Process)
+		}
+	}
+}
+
+// full lets the process's files grow no more, as on a full disk.
+func (p *Process) full() error {
+	p.filled = true // it ends there: what raft has not written it must not act on
+	return unix.Prlimit(p.proc.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 4096, Max: 4096}, nil)
+}
+
+// damage writes over the middle of what a keeper that does not run has kept.
+func (p *Process) damage() error {
+	path := filepath.Join(p.stage.dir, string(p.Name)+".kept", "log.db")
+	f, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	for at := int64(0); at < 1<<16; at += 4096 {
+		if _, err := f.WriteAt([]byte("this is no page of it"), at); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/drill/read.go
@@ -0,0 +1,79 @@
+package drill
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"pepperlead/internal/drill/judge"
+)
+
+// written reads what the sidecars have written down. A last line that a killed process left half is left out.
+func (c *Cluster) written(h *judge.History) error {
+	for _, p := range c.sidecars {
+		log, err := os.Open(p.Log)
+		if err != nil {
+			return err
+		}
+		lines := bufio.NewScanner(log)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			var line struct {
+				Msg      string
+				Versions []int
+				Leased   bool
+				Awake    int64 `json:"awake_ns"`
+				ID       string
+				Server   string
+				No       int
+			}
+			if json.Unmarshal(lines.Bytes(), &line) != nil {
+				continue
+			}
+			acts := judge.Acts{Process: string(p.Name), Of: line.Versions, Leased: line.Leased, At: line.Awake}
+			switch {
+			case strings.HasPrefix(line.Msg, "rules: by what") || strings.HasPrefix(line.Msg, "rules: no lease"):
+				h.Changes = append(h.Changes, acts)
+			case line.Msg == "drill: ticket":
+				h.Steps = append(h.Steps, judge.Step{Acts: acts, ID: line.ID})
+			case line.Msg == "drill: push":
+				h.Steps = append(h.Steps, judge.Step{Acts: acts, ID: line.ID, Server: line.Server, No: line.No})
+			}
+		}
+		log.Close()
+		if err := lines.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// meant gives each version that the keepers have agreed on the meaning that the script gave its text.
+func (c *Cluster) meant(h *judge.History) error {
+	texts := map[string]Version{}
+	for _, v := range c.script.Versions {
+		text, err := os.ReadFile(filepath.Join(c.dir, v.Name+".version"))
+		if err != nil {
+			return err
+		}
+		texts[strings.TrimSpace(string(text))] = v
+	}
+	h.Versions = map[int]judge.Version{0: meaning(c.script.Versions[0])}
+	for n := 1; n <= c.last; n++ {
+		var text strings.Builder
+		if err := c.keeper().page("/_versions/"+strconv.Itoa(n), func(line string) { text.WriteString(line + "\n") }); err != nil {
+			return err
+		}
+		if v, known := texts[strings.TrimSpace(text.String())]; known {
+			h.Versions[n] = meaning(v)
+		}
+	}
+	return nil
+}
+
+func meaning(v Version) judge.Version {
+	return judge.Version{Repeats: v.Repeats, Window: v.Window, Servers: v.Servers}
+}
--- /dev/null
+++ b/internal/drill/script.go
@@ -0,0 +1,144 @@
+package drill
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"pepperlead/internal/document"
+	"pepperlead/policy"
+)
+
+// Script is a drill as its file says it.
+type Script struct {
+	About       string
+	Sidecars    int
+	Keepers     int
+	Servers     int
+	Seconds     time.Duration
+	Rate        float64 // requests a second at each sidecar
+	Resets      float64 // part of the work done whose answer is lost
+	Jitter      time.Duration
+	Lease       string
+	AgreeWithin time.Duration
+	Contradicts bool // the judge must find one: a drill of the judge
+	Versions    []Version
+	Clocks      map[string]string // by process: GW_CLOCK
+	Doings      []Doing
+}
+
+// Version is one that a drill applies. Name 0 of a script's versions is the sidecars' own file's.
+type Version struct {
+	Name    string
+	Repeats string
+	Window  time.Duration
+	Servers []string // nil: the sidecars' own source's
+}
+
+// Doing is something that is done at its moment.
+type Doing struct {
+	At      time.Duration // since the begin, or
+	Share   float64       // once so many sidecars
+	Number  int           // act by that version, and
+	After   time.Duration // so much later
+	What    string
+	Who     []string
+	From    []string
+	To      []string
+	Version string
+	Of      int // of a version that is withdrawn or gone back to
+	Drop    float64
+	Twice   float64
+	Delay   time.Duration
+	Spread  time.Duration
+	MayFail bool
+}
+
+// verbs are what can be done, and what each needs.
+var verbs = map[string][]string{"apply": {"version"}, "rollback": {"number"}, "withdraw": {"number"}, "part": {"from", "to"}, "cut": {"from", "to"},
+	"weather": nil, "heal": nil, "stall": {"who"}, "go": {"who"}, "kill": {"who"}, "start": {"who"}, "fill-disk": {"who"}, "damage": {"who"}}
+
+const mostScript = 1 << 18
+
+// ReadScript reads a drill. The error has a line for each fault.
+func ReadScript(file string, text []byte) (*Script, error) {
+	doc, root := document.Parse(file, text, mostScript)
+	s := &Script{Clocks: map[string]string{}}
+	if doc.Err() == nil {
+		s.read(root)
+	}
+	return s, doc.Err()
+}
+
+func span(t *document.Table, key string, fallback time.Duration) time.Duration {
+	return time.Duration(t.Span(key, policy.Time(fallback), 0, 3600*policy.Second))
+}
+
+func (s *Script) read(root *document.Table) {
+	root.Require("drill")
+	t := root.Table("drill")
+	s.About = t.Text("about", "")
+	s.Sidecars, s.Keepers = int(t.Count("sidecars", 5, 1, most)), int(t.Count("keepers", 3, 1, 5))
+	s.Servers, s.Seconds = int(t.Count("servers", 3, 1, 100)), span(t, "seconds", 10*time.Second)
+	s.Rate, s.Resets = t.Real("rate", 10, 0, 1000), t.Real("resets", 0.1, 0, 1)
+	s.Jitter, s.Lease = span(t, "jitter", 300*time.Millisecond), t.Text("lease", "1.5s")
+	s.AgreeWithin = span(t, "agree_within", 2*time.Second)
+	s.Contradicts = t.Yes("contradicts", false)
+	t.Done()
+	s.Versions = append(s.Versions, Version{Name: "own", Repeats: "at-most-once"})
+	names := []string{"own"}
+	for _, t := range root.Tables("version") {
+		t.Require("name", "repeats")
+		kinds := []string{"reissuable", "numbered", "at-most-once"}
+		v := Version{Name: t.Text("name", ""), Repeats: kinds[t.OneOf("repeats", 2, kinds...)], Window: span(t, "window", time.Second)}
+		if t.Has("servers") {
+			v.Servers = append([]string{}, t.Texts("servers")...)
+		}
+		t.Done()
+		s.Versions, names = append(s.Versions, v), append(names, v.Name)
+	}
+	for _, t := range root.Tables("clock") {
+		t.Require("who")
+		for _, who := range t.Texts("who") {
+			s.Clocks[who] = fmt.Sprintf("%g,%v", t.Real("rate", 1, 0, 2), span(t, "ahead", 0))
+		}
+		t.Done()
+	}
+	for _, t := range root.Tables("do") {
+		s.Doings = append(s.Doings, doing(t, names))
+	}
+	root.Done()
+}
+
+func doing(t *document.Table, versions []string) Doing {
+	all := make([]string, 0, len(verbs))
+	for v := range verbs {
+		all = append(all, v)
+	}
+	slices.Sort(all)
+	t.Require("what")
+	d := Doing{At: -1, What: all[t.OneOf("what", 0, all...)], Who: t.Texts("who"), From: t.Texts("from"), To: t.Texts("to"), Version: t.Text("version", ""),
+		Of: int(t.Count("number", 0, 1, 1000)), Drop: t.Real("drop", 0, 0, 1), Twice: t.Real("twice", 0, 0, 1), Delay: span(t, "delay", 0),
+		Spread: span(t, "spread", 0), MayFail: t.Yes("may_fail", false), After: span(t, "after", 0)}
+	t.Require(verbs[d.What]...)
+	if d.Version != "" && !slices.Contains(versions, d.Version) {
+		t.Fault("version", t.Found("version"), "one of "+strings.Join(versions, ", "))
+	}
+	switch when := t.Text("when", ""); {
+	case t.Has("at") && t.Has("when") || !t.Has("at") && !t.Has("when"):
+		t.Fault("at", t.Found("at"), "either a time, or when = \"half 2\"")
+	case t.Has("at"):
+		d.At = span(t, "at", 0)
+	default:
+		var share string
+		if _, err := fmt.Sscanf(when, "%s %d", &share, &d.Number); err != nil || shares[share] == 0 {
+			t.Fault("when", t.Found("when"), "one, half or all, and the number of a version that so many act by")
+		}
+		d.Share = shares[share]
+	}
+	t.Done()
+	return d
+}
+
+var shares = map[string]float64{"one": 1e-9, "half": 0.5, "all": 1}
--- a/internal/drill/stage.go
+++ b/internal/drill/stage.go
@@ -32,12 +32,17 @@
 
 // Process is one sidecar.
 type Process struct {
-	Name  links.Place
-	Log   string // file
-	stage *Stage
-	pages string
-	proc  *exec.Cmd
-	still bool
+	Name   links.Place
+	Log    string // file
+	stage  *Stage
+	verb   string // serve or keep
+	pages  string
+	clock  string // GW_CLOCK
+	proc   *exec.Cmd
+	gone   chan struct{} // closed once it has ended, by itself too
+	ended  error         // why, from then on
+	still  bool
+	filled bool // its files can grow no more
 }
 
 // Post is what the processes are told.
@@ -74,15 +79,9 @@
 		join = append(join, strconv.Quote(fmt.Sprintf("%s:%d", reached(i), meets)))
 	}
 	for i := range p.Count + p.Strangers {
-		one := &Process{Name: links.Place(fmt.Sprint("n", i+1)), Log: filepath.Join(p.Dir, fmt.Sprint("n", i+1, ".log")), stage: s,
-			pages: fmt.Sprintf("%s:%d", own(i), pages)}
-		listen, door := fmt.Sprintf("%s:%d", own(i), meets), fmt.Sprintf("%s:%d", reached(i), meets)
-		at := netip.MustParseAddrPort(listen)
-		s.Links.At(one.Name, at.Addr())
-		if _, err := s.Links.TCP(door, one.Name, listen); err != nil {
-			return s, err
-		}
-		if _, err := s.Links.UDP(door, one.Name, at); err != nil {
+		one := s.process(fmt.Sprint("n", i+1), "serve", fmt.Sprintf("%s:%d", own(i), pages))
+		listen, door, err := s.meet(one.Name, i, meets)
+		if err != nil {
 			return s, err
 		}
 		key, cluster := 0, "drill"
@@ -98,7 +97,6 @@
 		if err := os.WriteFile(one.config(), []byte(text), 0o600); err != nil {
 			return s, err
 		}
-		s.Processes = append(s.Processes, one)
 	}
 	for _, one := range s.Processes {
 		if err := one.Start(); err != nil {
@@ -108,6 +106,24 @@
 	return s, nil
 }
 
+// process adds one that does not run yet.
+func (s *Stage) process(name, verb, pages string) *Process {
+	one := &Process{Name: links.Place(name), Log: filepath.Join(s.dir, name+".log"), stage: s, verb: verb, pages: pages}
+	s.Processes = append(s.Processes, one)
+	return one
+}
+
+// meet opens the links to where a process meets others: it listens at the one address, and is reached at the other.
+func (s *Stage) meet(name links.Place, i, port int) (listen, door string, err error) {
+	listen, door = fmt.Sprintf("%s:%d", own(i), port), fmt.Sprintf("%s:%d", reached(i), port)
+	at := netip.MustParseAddrPort(listen)
+	s.Links.At(name, at.Addr())
+	if _, err = s.Links.TCP(door, name, listen); err == nil {
+		_, err = s.Links.UDP(door, name, at)
+	}
+	return listen, door, err
+}
+
 // own is where a process listens and calls from, reached where the links listen for it.
 func own(i int) string     { return fmt.Sprintf("127.6.%d.%d", i/250, i%250+1) }
 func reached(i int) string { return fmt.Sprintf("127.7.%d.%d", i/250, i%250+1) }
@@ -134,21 +150,41 @@
 		return err
 	}
 	defer log.Close()
-	proc := exec.Command(p.stage.program, "serve", "--config", p.config())
+	proc := exec.Command(p.stage.program, p.verb, "--config", p.config())
 	proc.Stderr = log
+	if p.clock != "" {
+		proc.Env = append(os.Environ(), "GW_CLOCK="+p.clock)
+	}
 	if err := proc.Start(); err != nil {
 		return err
 	}
-	p.proc = proc
+	p.proc, p.gone = proc, make(chan struct{})
+	go func(gone chan struct{}) {
+		p.ended = proc.Wait()
+		close(gone)
+	}(p.gone)
 	return nil
 }
 
+// Runs tells whether it is there, and has not ended by itself.
+func (p *Process) Runs() bool {
+	if p.proc == nil {
+		return false
+	}
+	select {
+	case <-p.gone:
+		return false
+	default:
+		return true
+	}
+}
+
 // Kill ends it outright.
 func (p *Process) Kill() {
 	if p.proc != nil {
 		p.Stall(false)
 		p.proc.Process.Kill()
-		p.proc.Wait()
+		<-p.gone
 		p.proc = nil
 	}
 }
@@ -156,9 +192,9 @@
 // Leave has it end in good order, and waits for that.
 func (p *Process) Leave() error {
 	p.proc.Process.Signal(syscall.SIGTERM)
-	err := p.proc.Wait()
+	<-p.gone
 	p.proc = nil
-	return err
+	return p.ended
 }
 
 // Stall has it stand still, or go on.
--- a/internal/engine/terms.go
+++ b/internal/engine/terms.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/sirupsen/logrus"
 	"sync/atomic"
 
 	"pepperlead/internal/agreement"
@@ -88,6 +90,14 @@
 	return e.terms.holder.InForce(), e.terms.leased
 }
 
+// Acting is a line of the log with what this sidecar acts by, and when.
+func (e *Engine) Acting() *logrus.Entry {
+	return e.Logger.WithFields(logrus.Fields{"versions": e.terms.holder.InForce(), "leased": e.terms.leased, "awake_ns": int64(clock.True())})
+}
+
+// Tells whether each step of a ticket is to be written down: where rules are agreed on, and debug lines are wanted.
+func (e *Engine) Tells() bool { return e.terms != nil && e.Logger.IsLevelEnabled(logrus.DebugLevel) }
+
 // acted counts changes of what may be done, so that what was decided before one is looked at again.
 func (e *Engine) acted() uint64 {
 	if e.terms == nil {
@@ -139,8 +149,7 @@
 	e.quotas(r)
 	if t.leased != leased || !slices.Equal(t.last, t.holder.InForce()) {
 		t.leased, t.last = leased, slices.Clone(t.holder.InForce())
-		e.Logger.WithField("versions", t.last).WithField("leased", leased).WithField("awake_ns", int64(clock.Awake())).
-			Infof("rules: %s", map[bool]string{true: "by what these versions allow", false: "no lease: nothing is repeated, nothing goes to cold servers"}[leased])
+		e.Acting().Infof("rules: %s", map[bool]string{true: "by what these versions allow", false: "no lease: nothing is repeated, nothing goes to cold servers"}[leased])
 	}
 	e.list.agreed(r, said)
 }
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -26,6 +26,7 @@
 	Delay  time.Duration // of all that passes
 	Spread time.Duration // at most this much more, drawn for each: packets overtake each other, bytes of one connection do not
 	Drop   float64       // part of the packets that are lost. Of connections nothing is: there a loss is a delay
+	Twice  float64       // part of the packets that come twice, each on its own time
 }
 
 // Count is what was tried one way and what became of it.
--- a/internal/links/udp.go
+++ b/internal/links/udp.go
@@ -103,17 +103,23 @@
 	if lost {
 		c.Lost++
 	}
-	wait := n.wait(s)
-	n.mu.Unlock()
-	pass := func() {
-		send(p)
-		n.took(time.Since(came) - wait)
+	var waits []time.Duration
+	if !lost {
+		waits = append(waits, n.wait(s))
+	}
+	if !lost && s.Twice > 0 && n.chance.Float64() < s.Twice {
+		waits = append(waits, n.wait(s))
 	}
-	switch {
-	case lost:
-	case wait == 0:
-		pass()
-	default:
-		time.AfterFunc(wait, pass)
+	n.mu.Unlock()
+	for _, wait := range waits {
+		pass := func() {
+			send(p)
+			n.took(time.Since(came) - wait)
+		}
+		if wait == 0 {
+			pass()
+		} else {
+			time.AfterFunc(wait, pass)
+		}
 	}
 }
--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -195,6 +195,9 @@
 	if named {
 		s.tickets.Mark(t, mark)
 	}
+	if s.Tells() {
+		s.Acting().WithField("id", string(id)).Debug("drill: ticket")
+	}
 	s.Admit(now, at, t.Ticket, offering, franchise, text(field(head, "X-Route-Key")), string(field(head, "X-Retried")) == "1", left)
 	if t.Uploads {
 		s.Comes(t.Ticket)
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -1,6 +1,8 @@
 package proto
 
 import (
+	"github.com/sirupsen/logrus"
+
 	"pepperlead/internal/engine"
 	"pepperlead/internal/state"
 	"pepperlead/policy"
@@ -63,6 +65,10 @@
 
 // send writes the request. Nothing of it is sent again by itself.
 func (s *Sidecar) send(now policy.Time, t *state.Ticket) {
+	if s.Tells() {
+		s.Acting().WithFields(logrus.Fields{"id": text(field(t.Head, "X-Request-ID")), "no": int(t.Ticket.PushNo),
+			"server": t.Push.Server.Of.UID}).Debug("drill: push")
+	}
 	size, wait := len(t.Body), t.Wait.At()-now
 	if t.More != nil {
 		size += len(t.More.B)
