--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -28,9 +28,10 @@
 	servers  []*standin.Server
 	chance   *rand.Rand
 	front    int
-	inForce  int // version
-	last     int // given out
-	led      *Process
+	inForce  int      // version
+	last     int      // given out
+	led      *Process // latest leader that was known
+	knows    *Process // keeper that knows the latest version
 	client   http.Client
 	asking   sync.WaitGroup
 	quiet    chan struct{} // closed: clients ask no more
--- a/internal/drill/play.go
+++ b/internal/drill/play.go
@@ -117,7 +117,7 @@
 		}
 	}
 	if err := c.standing(); err != nil {
-		r.Failed = append(r.Failed, err.Error())
+		return nil, err
 	}
 	if err := c.leased(ctx, convergeIn); err != nil && !s.Contradicts {
 		r.Failed = append(r.Failed, "at the end: "+err.Error())
@@ -186,21 +186,23 @@
 
 // standing notes the number of the latest version.
 func (c *Cluster) standing() error {
-	var inForce, coming, last int
-	var err error
 	for end := time.Now().Add(convergeIn); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		err = errors.New("the keepers do not answer")
-		c.keeper().page("/_versions", func(line string) {
-			if strings.HasPrefix(line, "in force") {
-				_, err = fmt.Sscanf(line, "in force %d, coming %d, last %d,", &inForce, &coming, &last)
+		changing := 0
+		for _, k := range c.keepers {
+			var inForce, coming, last int
+			if !k.Runs() || k.page("/_versions", func(line string) {
+				fmt.Sscanf(line, "in force %d, coming %d, last %d,", &inForce, &coming, &last)
+			}) != nil || last < c.last {
+				continue // one that has just been started may not have caught up
 			}
-		})
-		if err == nil && inForce == coming {
-			c.inForce, c.last = inForce, last
+			c.knows, c.inForce, c.last = k, inForce, last
+			changing = coming - inForce
+		}
+		if c.knows != nil && changing == 0 {
 			return nil
 		}
 	}
-	return errors.Join(err, errors.New("a change is under way without end"))
+	return errors.New("the keepers do not answer, or a change is under way without end")
 }
 
 // leased waits until every sidecar has a lease on the version in force.
--- a/internal/drill/read.go
+++ b/internal/drill/read.go
@@ -64,7 +64,7 @@
 	h.Versions = map[int]judge.Version{0: meaning(c.script.Versions[0])}
 	for n := 1; n <= c.last; n++ {
 		var text strings.Builder
-		if err := c.keeper().page("/_versions/"+strconv.Itoa(n), func(line string) { text.WriteString(line + "\n") }); err != nil {
+		if err := c.knows.page("/_versions/"+strconv.Itoa(n), func(line string) { text.WriteString(line + "\n") }); err != nil {
 			return err
 		}
 		if v, known := texts[strings.TrimSpace(text.String())]; known {
