Agreed tables: sidecars that began before and after a change hold the same one

A version that names servers carries who has which slot, dealt by the module's own joins, leaves and surplus moves on the table of the version before it (policy.Deal); sidecars adopt it with the version. While a change is under way the old one stays. policy.go is untouched by it. Shown: TestDealtTablesAreOneForAll, drills/tables (slept, killed, cut off, restarted: one table).

--- a/internal/agreement/book.go
+++ b/internal/agreement/book.go
@@ -17,6 +17,7 @@
 	Text   []byte   `cbor:"5,keyasint"`
 	From   Number   `cbor:"6,keyasint"` // whose text it has again; 0: a text of its own
 	Over   string   `cbor:"7,keyasint"` // how it ended: "" while it may be in force, "followed", "withdrawn"
+	Table  []byte   `cbor:"8,keyasint"` // who has which slot, as policy.Packed writes it, where it names servers
 }
 
 // Book is the agreed order of versions. The group's log is made of calls of its methods, in one order everywhere; the zero value is a book
@@ -37,12 +38,13 @@
 const keptPages = 32
 
 // Propose begins a change to a text. last is the number that its author took for the latest, so that of two who apply at the same moment only one
-// changes what both have seen. Errors: ErrUnderWay, or that another was first, or that the text is in force already.
-func (b *Book) Propose(p Page, last Number) error {
+// changes what both have seen. on is the version in force on whose table its own was dealt. Errors: ErrUnderWay, or that another was first, or
+// that the text is in force already.
+func (b *Book) Propose(p Page, last, on Number) error {
 	switch is := b.at(b.Old); {
 	case b.Old != b.New:
 		return ErrUnderWay
-	case last != b.Last:
+	case last != b.Last || on != b.Old:
 		return fmt.Errorf("found version %d to be the latest, allowed only on top of the one that was seen, %d", b.Last, last)
 	case is != nil && bytes.Equal(is.Text, p.Text):
 		return fmt.Errorf("found the text of version %d, which is in force, allowed one that changes something", b.Old)
@@ -59,13 +61,13 @@
 }
 
 // Back begins a change to the text that a kept version has, as a version of its own.
-func (b *Book) Back(to Number, p Page, last Number) error {
+func (b *Book) Back(to Number, p Page, last, on Number) error {
 	was := b.at(to)
 	if was == nil {
 		return fmt.Errorf("found version %d, allowed one of those kept", to)
 	}
 	p.Text, p.From = was.Text, to
-	return b.Propose(p, last)
+	return b.Propose(p, last, on)
 }
 
 // Withdraw ends the change to that version while it is under way; the one that was in force stays. Errors: ErrNothing.
--- a/internal/agreement/random_test.go
+++ b/internal/agreement/random_test.go
@@ -171,9 +171,9 @@
 			texts++
 			var err error
 			if back := Number(rapid.IntRange(0, 5).Draw(t, "back")); back > 0 && book.at(back) != nil && back != book.Old {
-				err = book.Back(back, Page{}, book.Last)
+				err = book.Back(back, Page{}, book.Last, book.Old)
 			} else {
-				err = book.Propose(Page{Text: fmt.Append(nil, texts)}, book.Last)
+				err = book.Propose(Page{Text: fmt.Append(nil, texts)}, book.Last, book.Old)
 			}
 			if err == nil {
 				leader.Propose(book.New, now)
@@ -203,22 +203,22 @@
 func TestBookKeepsOneOrder(t *testing.T) {
 	var b Book
 	page := func(text string) Page { return Page{Text: []byte(text), Author: "a"} }
-	if b.Propose(page("x"), 0) != nil || b.Old != 0 || b.New != 1 || b.Propose(page("y"), 1) != ErrUnderWay {
+	if b.Propose(page("x"), 0, b.Old) != nil || b.Old != 0 || b.New != 1 || b.Propose(page("y"), 1, b.Old) != ErrUnderWay {
 		t.Fatalf("%+v", b)
 	}
 	if b.Drop(2) || !b.Drop(1) || b.Drop(1) || b.Old != 1 {
 		t.Fatalf("%+v", b)
 	}
-	if err := b.Propose(page("y"), 0); err == nil {
+	if err := b.Propose(page("y"), 0, b.Old); err == nil {
 		t.Error("one that has not seen the latest is let in")
 	}
-	if err := b.Propose(page("x"), 1); err == nil {
+	if err := b.Propose(page("x"), 1, b.Old); err == nil {
 		t.Error("the text in force is let in")
 	}
-	if b.Propose(page("y"), 1) != nil || b.Withdraw(1) != ErrNothing || b.Withdraw(2) != nil || b.Old != 1 || b.New != 1 {
+	if b.Propose(page("y"), 1, b.Old) != nil || b.Withdraw(1) != ErrNothing || b.Withdraw(2) != nil || b.Old != 1 || b.New != 1 {
 		t.Fatalf("%+v", b)
 	}
-	if b.Propose(page("z"), 2) != nil || !b.Drop(3) || b.Back(9, Page{}, 3) == nil || b.Back(1, Page{}, 3) != nil {
+	if b.Propose(page("z"), 2, b.Old) != nil || !b.Drop(3) || b.Back(9, Page{}, 3, b.Old) == nil || b.Back(1, Page{}, 3, b.Old) != nil {
 		t.Fatalf("%+v", b)
 	}
 	if of := b.InForce(); len(of) != 2 || string(of[0].Text) != "z" || string(of[1].Text) != "x" || of[1].From != 1 || of[1].Number != 4 {
@@ -226,7 +226,7 @@
 	}
 	b.Drop(4)
 	for i := range 2 * keptPages { // withdrawn ones must not push out what is in force
-		if b.Propose(page(fmt.Sprint(i)), b.Last) != nil || b.Withdraw(b.New) != nil {
+		if b.Propose(page(fmt.Sprint(i)), b.Last, b.Old) != nil || b.Withdraw(b.New) != nil {
 			t.Fatalf("%+v", b)
 		}
 	}
--- a/internal/daemon/agreed.go
+++ b/internal/daemon/agreed.go
@@ -11,6 +11,7 @@
 	"pepperlead/internal/agreement"
 	"pepperlead/internal/engine"
 	"pepperlead/internal/installation"
+	"pepperlead/internal/listing"
 	"pepperlead/policy"
 )
 
@@ -46,12 +47,16 @@
 	if err != nil {
 		return nil, err
 	}
-	var servers []policy.Member
-	for _, e := range v.Servers {
-		servers = append(servers, e.Member)
-	}
+	servers := members(v.Servers)
 	return &engine.Version{Version: agreement.Version{Number: p.Number, Digest: p.Digest, Rules: agreement.RulesOf(v.Campaign, v.CutOffs, servers)},
-		Campaign: v.Campaign, Servers: v.Servers}, nil
+		Campaign: v.Campaign, Servers: v.Servers, Table: policy.Unpacked(p.Table, servers)}, nil
+}
+
+func members(of []listing.Entry) (all []policy.Member) {
+	for _, e := range of {
+		all = append(all, e.Member)
+	}
+	return all
 }
 
 func (g *agreed) hear(b []byte) {
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"pepperlead/internal/agreement"
 	"pepperlead/internal/group"
 	"pepperlead/internal/installation"
 	"pepperlead/internal/peers"
@@ -47,6 +48,23 @@
 	return fmt.Errorf("%s: server: found none that the version in force has ready too, allowed a change that keeps one: make it in two", file)
 }
 
+// dealt gives the slots' owners of a version that follows on another.
+func dealt(text []byte, inForce *agreement.Page) []byte {
+	next, err := installation.ReadVersion("version", text)
+	if err != nil || next.Servers == nil {
+		return nil
+	}
+	var was []policy.Member
+	var table []policy.ServerID
+	if inForce != nil {
+		if v, err := installation.ReadVersion("in force", inForce.Text); err == nil {
+			was = members(v.Servers)
+			table = policy.Unpacked(inForce.Table, was)
+		}
+	}
+	return policy.Packed(policy.Deal(table, was, members(next.Servers)), members(next.Servers))
+}
+
 // Keep runs a keeper of versions until it is told to end.
 func Keep(k *installation.Keeping, log *logrus.Logger) error {
 	stop := make(chan os.Signal, 2)
@@ -56,7 +74,7 @@
 		return fmt.Errorf("peers.key_file: %w", err)
 	}
 	post := group.Post{Name: k.Name, Folder: k.Folder, Listen: k.Listen, Cluster: k.Peers.Cluster, Key: key, Lease: k.Lease, Drift: k.Drift,
-		Check: func(text, inForce []byte) error { return CheckVersion("version", text, inForce) }}
+		Check: func(text, inForce []byte) error { return CheckVersion("version", text, inForce) }, Deal: dealt}
 	for _, m := range k.Members {
 		post.Members = append(post.Members, group.Member(m))
 	}
--- a/internal/drill/play.go
+++ b/internal/drill/play.go
@@ -42,6 +42,7 @@
 	Unleased   float64 // seconds without a lease, over all sidecars
 	OwnDelay   float64 // seconds that a relay took for itself, 99th percentile
 	Late       float64 // seconds by which the latest look at the clock came late
+	Tables     int     // different slot tables at the end, where versions name the servers; they must be one
 	Void       bool    // the machine stood still for longer than the lease: no figure means anything
 	Failed     []string
 	Packets    float64 // a second, one sidecar
@@ -124,6 +125,14 @@
 	}
 	r.Converged = time.Since(healed).Seconds()
 	time.Sleep(settleFor)
+	if v := s.version(c); v != nil && v.Servers != nil {
+		for end := time.Now().Add(startIn); time.Now().Before(end) && r.Tables != 1; time.Sleep(settleFor) {
+			r.Tables = int(c.sidecars[0].Figure("pepperlead_peers_tables"))
+		}
+		if r.Tables != 1 {
+			r.Failed = append(r.Failed, fmt.Sprintf("sidecars go by %d tables", r.Tables))
+		}
+	}
 	close(c.quiet)
 	c.asking.Wait()
 	after, share := sums(c.sidecars), 1/time.Since(begin).Seconds()/float64(len(c.sidecars))
@@ -144,6 +153,22 @@
 	return r, nil
 }
 
+// version is the one in force.
+func (s *Script) version(c *Cluster) *Version {
+	var name string
+	c.knows.page("/_versions/"+strconv.Itoa(c.inForce), func(line string) {
+		if text, is := strings.CutPrefix(line, "# "); is {
+			name = text
+		}
+	})
+	for i := range s.Versions {
+		if s.Versions[i].Name == name {
+			return &s.Versions[i]
+		}
+	}
+	return nil
+}
+
 // await waits for the moment of a doing, which differs a little by seed.
 func (c *Cluster) await(ctx context.Context, begin time.Time, d Doing) {
 	var jitter time.Duration
--- a/internal/engine/terms.go
+++ b/internal/engine/terms.go
@@ -17,7 +17,8 @@
 type Version struct {
 	agreement.Version
 	Campaign *policy.Campaign
-	Servers  []roster.Entry // nil: those of the sidecar's own source
+	Servers  []roster.Entry    // nil: those of the sidecar's own source
+	Table    []policy.ServerID // who has which slot; nil: as dealt here
 }
 
 // mostPlaces is how many offerings there may be, with those that tickets in hand were admitted to before a change.
@@ -33,7 +34,8 @@
 	turns  uint64
 	leased bool
 	last   []agreement.Number
-	acts   uint64 // changes
+	unfit  agreement.Number // version whose table could not be taken
+	acts   uint64           // changes
 }
 
 // Agreeing is a front that can go on while offerings and franchises come and go. With NoOffering and NoFranchise they go.
@@ -151,7 +153,27 @@
 		t.leased, t.last = leased, slices.Clone(t.holder.InForce())
 		e.Acting().Infof("rules: %s", map[bool]string{true: "by what these versions allow", false: "no lease: nothing is repeated, nothing goes to cold servers"}[leased])
 	}
-	e.list.agreed(r, said)
+	e.list.agreed(r, said, t.of[oldest(t.holder)])
+	e.Adopt()
+}
+
+// oldest is the version whose table is gone by: the one in force, and while a change is under way the one before it.
+func oldest(h *agreement.Holder) (n agreement.Number) {
+	if of := h.InForce(); len(of) > 0 {
+		n = of[0]
+	}
+	return n
+}
+
+// Adopt takes the agreed table, where there is one: a server whose time after its end is over may have moved the module's own.
+func (e *Engine) Adopt() {
+	if e.terms == nil || !e.terms.leased || !e.list.closed {
+		return
+	}
+	if v := e.terms.of[oldest(e.terms.holder)]; v != nil && v.Table != nil && !e.Module.Adopt(v.Table) && e.terms.unfit != v.Number {
+		e.terms.unfit = v.Number
+		e.Logger.WithField("version", v.Number).Error("rules: the agreed table names a server that is not in the list, and is left out")
+	}
 }
 
 // said are the versions that say what does not bind: those in force, the newest first, then the others that are known.
@@ -251,7 +273,8 @@
 }
 
 // agreed has the servers that versions name in the place of the source's own. One that not all of those name that may be in force drains.
-func (f *members) agreed(r *agreement.Rules, said []*Version) {
+// One that is only coming is not known yet, so that the table stays as it is in force; table is the version that it is of.
+func (f *members) agreed(r *agreement.Rules, said []*Version, table *Version) {
 	if r.Open {
 		if f.closed {
 			f.closed = false
@@ -271,6 +294,8 @@
 			i, byAll := slices.BinarySearchFunc(r.Servers, e.ID, func(s agreement.Server, id policy.ServerID) int { return cmp.Compare(s.ID, id) })
 			if byAll {
 				e.Started = max(e.Started, r.Servers[i].Started)
+			} else if f.e.Servers[e.ID] == nil && (table == nil || v != table) {
+				continue
 			} else if e.Standing == policy.Ready {
 				e.Standing = policy.Draining
 			}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -40,6 +40,8 @@
 	Lease   policy.Time
 	Drift   float64
 	Check   func(text, inForce []byte) error // whether a version can follow on another; nil: there is none
+	// Deal gives the slots' owners of a text that follows on a version, nil: there is none; nothing where it names no servers.
+	Deal func(text []byte, inForce *agreement.Page) []byte
 }
 
 const (
@@ -351,41 +353,43 @@
 	if k.raft.State() != raft.Leader {
 		return 0, ErrNotLeading
 	}
-	if err := k.check(text, back); err != nil {
+	text, inForce, on, err := k.check(text, back)
+	if err != nil {
 		return 0, err
 	}
-	now := time.Now().UnixNano()
-	if err := k.write("apply", text, uint64(back), uint64(last), author, now); err != nil {
+	if err := k.write("apply", text, k.post.Deal(text, inForce), uint64(back), uint64(last), uint64(on), author, time.Now().UnixNano()); err != nil {
 		return 0, err
 	}
 	return last + 1, nil
 }
 
-// check tells why the text, or that of the version gone back to, cannot follow on what is in force.
-func (k *Keeper) check(text []byte, back agreement.Number) error {
+// check tells why the text, or that of the version gone back to, cannot follow on what is in force; and gives the text and what that is.
+func (k *Keeper) check(text []byte, back agreement.Number) ([]byte, *agreement.Page, agreement.Number, error) {
 	b := k.Book()
-	var inForce []byte
-	for _, p := range b.Pages {
+	var inForce *agreement.Page
+	var follows []byte
+	for i, p := range b.Pages {
 		if p.Number == b.Old {
-			inForce = p.Text
+			inForce, follows = &b.Pages[i], p.Text
 		}
 		if back > 0 && p.Number == back {
 			text = p.Text
 		}
 	}
-	return k.post.Check(text, inForce)
+	return text, inForce, b.Old, k.post.Check(text, follows)
 }
 
 // dry tells why it would be refused.
 func (k *Keeper) dry(text []byte, back, last agreement.Number) error {
-	if err := k.check(text, back); err != nil {
+	text, _, on, err := k.check(text, back)
+	if err != nil {
 		return err
 	}
 	b := k.Book()
 	if back > 0 {
-		return b.Back(back, agreement.Page{}, last)
+		return b.Back(back, agreement.Page{}, last, on)
 	}
-	return b.Propose(agreement.Page{Text: text}, last)
+	return b.Propose(agreement.Page{Text: text}, last, on)
 }
 
 // Withdraw ends the change to that version while it is under way.
@@ -449,12 +453,12 @@
 	switch verb {
 	case "apply":
 		var page agreement.Page
-		var back, last agreement.Number
-		err := read(&page.Text, &back, &last, &page.Author, &page.At)
+		var back, last, on agreement.Number
+		err := read(&page.Text, &page.Table, &back, &last, &on, &page.Author, &page.At)
 		if err == nil && back > 0 {
-			err = p.book.Back(back, page, last)
+			err = p.book.Back(back, page, last, on)
 		} else if err == nil {
-			err = p.book.Propose(page, last)
+			err = p.book.Propose(page, last, on)
 		}
 		if err != nil {
 			return err
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -266,7 +266,7 @@
 	c.mu.Lock()
 	known, joins, gone, tables := len(c.peers), c.joins, c.gone, map[uint64]bool{}
 	for _, p := range c.peers {
-		if p.Alive {
+		if p.Alive && !p.Keeper {
 			tables[p.Table] = true
 		}
 	}
--- /dev/null
+++ b/policy/table.go
@@ -0,0 +1,114 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+)
+
+// nobody is a front for an instance that carries no tickets.
+type nobody struct{}
+
+func (nobody) Push(Handle, ServerID, Time) {}
+func (nobody) Cancel(Handle, PushNo)       {}
+func (nobody) Honour(Handle, PushNo)       {}
+func (nobody) TurnBack(Handle, Time)       {}
+func (nobody) GiveUp(Handle)               {}
+func (nobody) Wake(Time)                   {}
+func (nobody) FollowList(bool)             {}
+func (nobody) Release(ServerID)            {}
+func (nobody) Forget(ServerID)             {}
+func (nobody) Log(string)                  {}
+
+// Deal gives the owner of each slot after a list has followed on another, by the module's own joins, leaves and moves of surplus slots alone: who
+// deals the same lists in the same order has the same table, whenever it began. table and was are what stood before, nil at the first list. Nil
+// where there is no server.
+func Deal(table []ServerID, was, now []Member) []ServerID {
+	b := New(nobody{}, &Campaign{Sidecars: 1, Weighted: true}, 0, 0)
+	listed := func(all []Member) (kept []Member) {
+		for _, m := range all {
+			if m.Standing != Gone {
+				kept = append(kept, m)
+			}
+		}
+		return kept
+	}
+	if len(table) == slots {
+		b.List(0, ListFull, listed(was))
+		if !b.Adopt(table) {
+			b = New(nobody{}, b.campaign, 0, 0) // the table of another list: dealt as the first
+		}
+	}
+	b.List(0, ListFull, listed(now))
+	gone := slices.DeleteFunc(slices.Clone(b.byID), func(p int32) bool { return b.servers[p].Standing != Gone })
+	if len(gone) == len(b.byID) {
+		return nil
+	}
+	for _, p := range gone {
+		b.leave(p)
+	}
+	b.deal(nil, b.byID) // leaves deal only what has come loose; so that no later one finds a surplus
+	return b.owners()
+}
+
+func (b *Balancer) owners() (all []ServerID) {
+	for _, p := range b.table {
+		all = append(all, b.servers[p].ID)
+	}
+	return all
+}
+
+// Adopt takes over who has which slot. False, and nothing is changed, where a server in it is not in the list.
+func (b *Balancer) Adopt(table []ServerID) bool {
+	if len(table) != len(b.table) || slices.ContainsFunc(table, func(id ServerID) bool {
+		p, known := b.places[id]
+		return !known || !b.servers[p].inTable
+	}) {
+		return false
+	}
+	for _, p := range b.byID {
+		b.servers[p].ranks = []int32{} // not nil: when it leaves, nothing is to be dealt for it
+	}
+	for rank, slot := range b.order {
+		p := b.places[table[slot]]
+		b.table[slot] = p
+		b.servers[p].ranks = append(b.servers[p].ranks, int32(rank))
+	}
+	return true
+}
+
+// Packed writes a table as the places of the owners among the servers of its list, two bytes a slot. Nil: one of them is not in it.
+func Packed(table []ServerID, list []Member) (b []byte) {
+	ids := sortedIDs(list)
+	for _, id := range table {
+		i, known := slices.BinarySearch(ids, id)
+		if !known || i > 1<<16-1 {
+			return nil
+		}
+		b = append(b, byte(i>>8), byte(i))
+	}
+	return b
+}
+
+// Unpacked reads it. Nil: it is not one of that list.
+func Unpacked(b []byte, list []Member) (table []ServerID) {
+	ids := sortedIDs(list)
+	if len(b) != 2*slots {
+		return nil
+	}
+	for i := 0; i < len(b); i += 2 {
+		at := int(b[i])<<8 | int(b[i+1])
+		if at >= len(ids) {
+			return nil
+		}
+		table = append(table, ids[at])
+	}
+	return table
+}
+
+func sortedIDs(list []Member) (ids []ServerID) {
+	for _, m := range list {
+		ids = append(ids, m.ID)
+	}
+	slices.SortFunc(ids, cmp.Compare[ServerID])
+	return ids
+}
--- /dev/null
+++ b/policy/table_test.go
@@ -0,0 +1,79 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// Whoever deals the same lists has the same table; a change moves no more slots than the shares ask for; and one that lives through the lists
+// and adopts each table stays with it while servers that went away leave it after their time.
+func TestDealtTablesAreOneForAll(t *testing.T) {
+	chance := rand.New(rand.NewPCG(7, 0))
+	list := func() (all []Member) {
+		for id := range 40 {
+			if chance.IntN(3) > 0 {
+				all = append(all, Member{ID: ServerID(1000 + id*id), Weight: float64(1 + id%3)})
+			}
+		}
+		return all
+	}
+	var table []ServerID
+	var was []Member
+	live := New(nobody{}, &Campaign{Sidecars: 3, Weighted: true, Offerings: []Offering{{Quoted: Second, CutOff: Second}}}, 9, 0)
+	now := Time(0)
+	for range 20 {
+		next := list()
+		if chance.IntN(4) == 0 && was != nil && was[len(was)-1].ID != 5 {
+			next = append(slices.Clone(was), Member{ID: 5, Weight: 2})
+		}
+		dealt := Deal(table, was, next)
+		if again := Deal(Unpacked(Packed(table, was), was), was, slices.Clone(next)); !slices.Equal(dealt, again) {
+			t.Fatal("two dealt alike and have two tables")
+		}
+		total, share := 0.0, map[ServerID]float64{}
+		for _, m := range next {
+			total += m.Weight
+		}
+		for _, id := range dealt {
+			share[id]++
+		}
+		moved, needed := 0, 0.0
+		before := map[ServerID]float64{}
+		for i, id := range table {
+			before[id]++
+			if dealt[i] != id {
+				moved++
+			}
+		}
+		for _, m := range next {
+			if want := m.Weight / total * slots; share[m.ID] < want-1 || share[m.ID] > want+1 {
+				t.Errorf("server %d has %v slots, wants %v", m.ID, share[m.ID], want)
+			}
+			needed += max(0, share[m.ID]-before[m.ID])
+		}
+		// A join deals before the leaves do, so a slot may move twice in one change.
+		if table != nil && float64(moved) > 1.5*needed+float64(len(next)) {
+			t.Errorf("%d slots moved, %v had to", moved, needed)
+		}
+		live.List(now, ListFull, next)
+		if !live.Adopt(dealt) {
+			t.Fatal("the table of its own list is not taken")
+		}
+		for range 200 { // past holdTime
+			now += Second / 4
+			live.List(now, ListFull, next)
+			live.Woken(now)
+		}
+		if !slices.Equal(live.owners(), dealt) {
+			t.Error("it has left the table that it took")
+		}
+		if live.Adopt(append([]ServerID{1}, dealt[1:]...)) || !slices.Equal(live.owners(), dealt) {
+			t.Error("a table with a stranger in it is taken")
+		}
+		table, was = dealt, next
+	}
+	if Deal(table, was, nil) != nil || Deal(nil, nil, nil) != nil {
+		t.Error("nobody has slots")
+	}
+}
