Offerings that go are taken off the front also where their place is another's by then

Found by TestRulesComeAndGoWithoutARestart: the front was told of names that places had at the time, so one whose place had been given to another stayed on offer. Also: apply waits up to 5 s for a leader; drills ask a keeper that knows who leads.

--- a/cmd/pepperlead/versions.go
+++ b/cmd/pepperlead/versions.go
@@ -38,10 +38,15 @@
 	return c
 }
 
+const (
+	leadIn    = 5 * time.Second // for the keepers to find one that leads
+	leadAgain = 200 * time.Millisecond
+)
+
 // toKeepers is a call of the keepers' pages, at the one that leads.
 func toKeepers(at, path, kind string, body []byte) (string, error) {
 	client := http.Client{Timeout: 15 * time.Second}
-	for range 4 {
+	for end := time.Now().Add(leadIn); time.Now().Before(end); {
 		ask, err := http.NewRequest(kind, "http://"+at+path, bytes.NewReader(body))
 		if err != nil {
 			return "", err
@@ -59,6 +64,8 @@
 			return string(text), nil
 		case answer.StatusCode == http.StatusMisdirectedRequest && leader != "":
 			at = leader
+		case answer.StatusCode == http.StatusServiceUnavailable && time.Now().Add(leadAgain).Before(end):
+			time.Sleep(leadAgain) // the keepers look for one to lead
 		default:
 			return "", errors.New(strings.TrimSpace(string(text)))
 		}
--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -94,7 +94,7 @@
 			if _, err := c.Links.TCP(fmt.Sprintf("%s:%d", reached(at), logs), one.Name, fmt.Sprintf("%s:%d", own(at), logs)); err != nil {
 				return c, err
 			}
-			text += fmt.Sprintf("[keep]\nfolder = %q\nlisten = \"%s:%d\"\nlease = %q\n%s", name+".kept", own(at), logs, script.Lease, members.String())
+			text += fmt.Sprintf("[keep]\nfolder = %q\nlisten = \"%s:%d\"\nlease = %q\n%s[log]\nlevel = \"debug\"\n", name+".kept", own(at), logs, script.Lease, members.String())
 		} else {
 			c.sidecars = append(c.sidecars, one)
 			text += fmt.Sprintf("instances = %d\nseed = \"%x\"\n[front.http]\nlisten = \"%s:%d\"\n[pages]\nlisten = %q\n", script.Sidecars,
--- a/internal/drill/play.go
+++ b/internal/drill/play.go
@@ -199,14 +199,20 @@
 	pause(d.After)
 }
 
-// keeper is one that answers.
+// keeper is one that knows who leads, or else one that runs.
 func (c *Cluster) keeper() *Process {
+	some := c.keepers[0]
 	for _, k := range c.keepers {
-		if k.Runs() && !k.still {
+		if !k.Runs() || k.still {
+			continue
+		}
+		some = k
+		led := false
+		if k.page("/_versions", func(line string) { led = led || strings.Contains(line, "leader \"k") }) == nil && led {
 			return k
 		}
 	}
-	return c.keepers[0]
+	return some
 }
 
 // standing notes the number of the latest version.
--- a/internal/engine/terms.go
+++ b/internal/engine/terms.go
@@ -26,16 +26,17 @@
 
 // terms are the rules that this sidecar agrees on with others. The loop's own.
 type terms struct {
-	holder *agreement.Holder
-	places agreement.Places
-	of     map[agreement.Number]*Version
-	named  []string // by place
-	rows   []int    // by place: where its figures are
-	turns  uint64
-	leased bool
-	last   []agreement.Number
-	unfit  agreement.Number // version whose table could not be taken
-	acts   uint64           // changes
+	holder  *agreement.Holder
+	places  agreement.Places
+	of      map[agreement.Number]*Version
+	named   []string // by place
+	rows    []int    // by place: where its figures are
+	offered []string
+	turns   uint64
+	leased  bool
+	last    []agreement.Number
+	unfit   agreement.Number // version whose table could not be taken
+	acts    uint64           // changes
 }
 
 // Agreeing is a front that can go on while offerings and franchises come and go. With NoOffering and NoFranchise they go.
@@ -141,8 +142,12 @@
 			e.agreeing(func(f Agreeing) { f.Offers(name, at, now.CutOff) })
 		}
 	})
-	for _, name := range slices.Compact(slices.Sorted(slices.Values(t.named))) {
-		if _, offered := t.places.At(name); !offered {
+	was := t.offered
+	t.offered = nil
+	for _, name := range slices.Compact(slices.Sorted(slices.Values(append(was, t.named...)))) {
+		if _, offered := t.places.At(name); offered {
+			t.offered = append(t.offered, name)
+		} else {
 			e.agreeing(func(f Agreeing) { f.Offers(name, policy.NoOffering, 0) })
 		}
 	}
--- /dev/null
+++ b/internal/engine/terms_test.go
@@ -0,0 +1,120 @@
+package engine
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pepperlead/internal/agreement"
+	"pepperlead/internal/roster"
+	"pepperlead/policy"
+)
+
+// frontless carries nothing, and notes what it is told.
+type frontless struct {
+	Front
+	offers  map[string]policy.OfferingID
+	quotes  map[string]policy.FranchiseID
+	pushed  int
+	answers int
+}
+
+func (f *frontless) Gather(policy.Time)                                      {}
+func (f *frontless) Push(policy.Time, *Ticket, *Server)                      { f.pushed++ }
+func (f *frontless) TimedOut(policy.Time, *Ticket)                           {}
+func (f *frontless) GiveUp(now policy.Time, t *Ticket)                       { f.answers++ }
+func (f *frontless) TurnBack(now policy.Time, t *Ticket, _ policy.Time)      { f.answers++ }
+func (f *frontless) Unneeded(*Ticket)                                        {}
+func (f *frontless) Given(*Ticket)                                           {}
+func (f *frontless) Retire(*Server)                                          {}
+func (f *frontless) Forget(*Server)                                          {}
+func (f *frontless) Offers(name string, at policy.OfferingID, _ policy.Time) { f.offers[name] = at }
+func (f *frontless) Quotes(name string, at policy.FranchiseID)               { f.quotes[name] = at }
+
+func versionOf(n agreement.Number, servers []roster.Entry, franchises []policy.Franchise, offerings ...policy.Offering) *Version {
+	c := &policy.Campaign{Sidecars: 4, Weighted: true, FallMultiple: 3, ColdShare: 0.5, MaxPushes: 3, Tick: policy.Millisecond, Offerings: offerings, Franchises: franchises}
+	var cutOffs []policy.Time
+	for _, o := range offerings {
+		cutOffs = append(cutOffs, o.CutOff)
+	}
+	var members []policy.Member
+	for _, s := range servers {
+		members = append(members, s.Member)
+	}
+	return &Version{Version: agreement.Version{Number: n, Digest: [32]byte{byte(n)}, Rules: agreement.RulesOf(c, cutOffs, members)}, Campaign: c, Servers: servers}
+}
+
+func TestRulesComeAndGoWithoutARestart(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	offering := func(name string, r policy.Repeats) policy.Offering {
+		return policy.Offering{Name: name, Credit: 1, Quoted: policy.Second, CutOff: 2 * policy.Second, Repeats: r, Window: policy.Second}
+	}
+	own := versionOf(0, nil, nil, offering("a", policy.Reissuable))
+	campaign := *own.Campaign
+	campaign.Offerings = append([]policy.Offering{}, own.Campaign.Offerings...)
+	e := New(Post{Campaign: &campaign}, log)
+	f := &frontless{offers: map[string]policy.OfferingID{}, quotes: map[string]policy.FranchiseID{}}
+	e.Add(f)
+	e.Agree(own, 1)
+	grant := func(span policy.Time, of ...agreement.Number) {
+		t.Helper()
+		ask, _ := e.Ask()
+		if !e.Granted(agreement.Grant{Term: 1, Ask: ask, Of: of, For: span}) {
+			t.Fatal("a grant is not taken")
+		}
+	}
+	if a := f.offers["a"]; campaign.Offerings[a].Repeats != policy.AtMostOnce || campaign.FallMultiple != 0 {
+		t.Fatalf("without a lease: %+v", campaign)
+	}
+	grant(policy.Second*100, 0)
+	a := f.offers["a"]
+	if campaign.Offerings[a].Repeats != policy.Reissuable || campaign.FallMultiple != 3 {
+		t.Fatalf("by its own file: %+v", campaign)
+	}
+	e.list.take(0, told{news: roster.News{List: &roster.List{Kind: policy.ListFull, Entries: []roster.Entry{{Member: policy.Member{ID: 9}, UID: "own"}}}}})
+	now := e.Clock.Now()
+	first := e.Take(0)
+	e.Admit(now, now, first, a, policy.NoFranchise, "k", false, 2*policy.Second) // reissuable, and stays so or stricter
+	e.Round(now)
+	if f.pushed != 1 || len(e.Servers) != 1 {
+		t.Fatalf("%d pushes, %d servers", f.pushed, len(e.Servers))
+	}
+	servers := []roster.Entry{{Member: policy.Member{ID: 1, Weight: 1}, UID: "x"}, {Member: policy.Member{ID: 2, Weight: 1}, UID: "y"}}
+	if !e.Learn(versionOf(1, servers, []policy.Franchise{{Name: "f", Quota: 5}}, offering("a", policy.AtMostOnce), offering("b", policy.Numbered))) {
+		t.Fatal("not learned")
+	}
+	grant(policy.Second*100, 0, 1)
+	if campaign.Offerings[a].Repeats != policy.AtMostOnce || f.offers["a"] != a || campaign.Offerings[f.offers["b"]].Repeats != policy.AtMostOnce {
+		t.Fatalf("by both: %+v %v", campaign.Offerings, f.offers)
+	}
+	grant(policy.Second*100, 1)
+	if o := campaign.Offerings[f.offers["b"]]; o.Name != "b" || o.Repeats != policy.Numbered || campaign.Quotas != 5 || f.quotes["f"] != 0 || !e.list.closed ||
+		len(e.Servers) != 3 || e.Servers[9].Listed || !e.Servers[1].Listed {
+		t.Fatalf("by the new: %+v %+v %+v", campaign, f, e.Servers)
+	}
+	if !e.Learn(versionOf(2, nil, nil, offering("a", policy.Reissuable))) {
+		t.Fatal("not learned")
+	}
+	grant(policy.Second*100, 2)
+	if at := f.offers["a"]; at == a || campaign.Offerings[at].Repeats != policy.Reissuable || campaign.Offerings[a].Repeats != policy.AtMostOnce ||
+		f.offers["b"] != policy.NoOffering || f.quotes["f"] != policy.NoFranchise || !e.Servers[9].Listed {
+		t.Fatalf("laxer than what is in hand was promised: %+v %+v", campaign.Offerings, f)
+	}
+	// The lease runs out between a decision and its write.
+	grant(30*policy.Millisecond, 2)
+	second := e.Take(0)
+	now = e.Clock.Now()
+	e.Admit(now, now, second, f.offers["a"], policy.NoFranchise, "k", false, 2*policy.Second)
+	if len(e.steps) != 1 || !e.Stands(now, second) {
+		t.Fatal("no push was decided on, or it does not stand")
+	}
+	e.Servers[9].Said.Standing = policy.Draining
+	e.list.apply(now, &roster.List{Kind: policy.ListChanges, Entries: []roster.Entry{{Member: policy.Member{ID: 9, Standing: policy.Draining}, UID: "own"}}})
+	time.Sleep(40 * time.Millisecond)
+	if e.Stands(now, second) || e.terms.leased {
+		t.Error("what was decided under a lease is written without it, to a server that has gone")
+	}
+}
--- a/internal/group/pages.go
+++ b/internal/group/pages.go
@@ -111,8 +111,10 @@
 	case errors.Is(err, ErrNotLeading) && unknown == nil && leader.Name != k.post.Name:
 		w.Header().Set(LeaderAt, leader.Pages)
 		http.Error(w, err.Error(), http.StatusMisdirectedRequest)
-	case errors.Is(err, ErrNotLeading), errors.Is(err, errNoLeader), errors.Is(err, errUnknown):
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case errors.Is(err, errUnknown):
+		http.Error(w, err.Error(), http.StatusGatewayTimeout)
+	case errors.Is(err, ErrNotLeading), errors.Is(err, errNoLeader):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable) // nothing was done: it may be tried again
 	default:
 		http.Error(w, err.Error(), http.StatusConflict)
 	}
