--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -56,6 +56,7 @@
 
 // Five sidecars and three keepers, whose rules change while links are cut, processes stand still and the keeper that leads dies.
 func TestRulesAreAgreedOn(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"short-cut", "short-naps"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
