--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -124,7 +124,7 @@
 	}
 	o := Orders{Name: in.Name, Door: in.Admin, Pages: in.Pages, Discovery: in.Discovery, LogLevel: in.LogLevel, LogFormat: in.LogFormat,
 		Post: proto.Post{Listen: in.Listen, Seed: in.Seed, Descriptors: in.Descriptors, Memory: in.MemoryMB << 20,
-			ConnectIn: in.ConnectIn, IdleFor: in.IdleFor, Accept: acceptFor, Campaign: in.Campaign, CutOffs: in.CutOffs,
+			ConnectIn: in.ConnectIn, From: in.From, IdleFor: in.IdleFor, Accept: acceptFor, Campaign: in.Campaign, CutOffs: in.CutOffs,
 			Default: in.Default, Anonymous: in.Anonymous, Stall: Stall}}
 	if !in.Seeded {
 		o.Seed = rand.Uint64()
--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -98,7 +98,7 @@
 		} else {
 			c.sidecars = append(c.sidecars, one)
 			text += fmt.Sprintf("instances = %d\nseed = \"%x\"\n[front.http]\nlisten = \"%s:%d\"\n[pages]\nlisten = %q\n", script.Sidecars,
-				seed*1000+uint64(i), own(at), front, one.pages) + offering(script.Versions[0]) + "[source]\nkind = \"fixed\"\n" +
+				seed*1000+uint64(i), own(at), front, one.pages) + offering(script.Versions[0]) + fmt.Sprintf("[limits]\nfrom = %q\n[source]\nkind = \"fixed\"\n", own(at)) +
 				strings.ReplaceAll(source(nil), "[[server]]", "[[source.server]]") + "[log]\nlevel = \"debug\"\nformat = \"json\"\n"
 		}
 		text += fmt.Sprintf("[peers]\nlisten = %q\nadvertise = %q\ncluster = \"drill\"\nkey_file = \"key\"\njoin = [%s]\n", listen, door,
@@ -161,7 +161,11 @@
 			return nil, err
 		}
 		c.servers = append(c.servers, s)
-		lines[name] = fmt.Sprintf("[[server]]\nid = %q\naddress = %q\n", name, s.Addr())
+		door, err := c.Links.TCP(fmt.Sprintf("127.9.0.%d:0", i+1), links.Place(name), s.Addr())
+		if err != nil {
+			return nil, err
+		}
+		lines[name] = fmt.Sprintf("[[server]]\nid = %q\naddress = %q\n", name, door)
 		all = append(all, name)
 	}
 	return func(names []string) (text string) {
--- a/internal/drill/play.go
+++ b/internal/drill/play.go
@@ -317,10 +317,16 @@
 	return c.led
 }
 
-func places(of []*Process) (all []links.Place) {
-	for _, p := range of {
+// places are the processes and servers that a script means.
+func (c *Cluster) places(names []string, half []int) (all []links.Place) {
+	for _, p := range c.who(names, half) {
 		all = append(all, p.Name)
 	}
+	for i := range c.servers {
+		if name := fmt.Sprint("s", i+1); slices.Contains(names, name) || slices.Contains(names, "servers") {
+			all = append(all, links.Place(name))
+		}
+	}
 	return all
 }
 
@@ -341,11 +347,11 @@
 		}
 		changes.Go(func() { c.change(ctx, d, at, r, begin) })
 	case "part":
-		c.Links.Part(places(c.who(d.From, half)), places(c.who(d.To, half)))
+		c.Links.Part(c.places(d.From, half), c.places(d.To, half))
 	case "cut":
-		for _, a := range c.who(d.From, half) {
-			for _, b := range c.who(d.To, half) {
-				c.Links.Set(links.Way{From: a.Name, To: b.Name}, links.State{Cut: true})
+		for _, a := range c.places(d.From, half) {
+			for _, b := range c.places(d.To, half) {
+				c.Links.Set(links.Way{From: a, To: b}, links.State{Cut: true})
 			}
 		}
 	case "weather":
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -38,6 +39,7 @@
 	Descriptors int
 	MemoryMB    int
 	ConnectIn   policy.Time
+	From        net.IP // connections to servers leave from there; nil: from whichever address the kernel picks
 	IdleFor     policy.Time
 	Leave       policy.Time // after the first sign of the end, for tickets in hand
 	Campaign    *policy.Campaign
@@ -236,6 +238,11 @@
 	in.Descriptors = int(t.Count("descriptors", 1024, 64, 1<<20))
 	in.MemoryMB = int(t.Count("memory_mb", 192, 32, 1<<16))
 	in.ConnectIn = t.Span("connect", policy.Second/5, policy.Millisecond, 60*policy.Second)
+	if from := t.Text("from", ""); from != "" {
+		if in.From = net.ParseIP(from); in.From == nil || in.From.IsUnspecified() {
+			t.Fault("from", t.Found("from"), "an IP address of this machine")
+		}
+	}
 	in.IdleFor = t.Span("idle", 60*policy.Second, policy.Second/10, 3600*policy.Second)
 	in.Leave = t.Span("leave", 0, policy.Second/10, 3600*policy.Second)
 	c.MaxPushes = int(t.Count("pushes", 3, 1, 8))
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -112,7 +112,7 @@
 )
 
 func newSockets(clock clock.Clock, buffers *state.Buffers, post *Post, clients int, signal func()) *sockets {
-	s := &sockets{clock: clock, buffers: buffers, connect: connect, signal: signal, room: make(chan struct{}, 1), ended: make(chan struct{})}
+	s := &sockets{clock: clock, buffers: buffers, connect: connect(post.From), signal: signal, room: make(chan struct{}, 1), ended: make(chan struct{})}
 	s.most.Store(int64(clients))
 	s.ahead.Store(mostAhead)
 	s.gate = &gate{s: s, begun: make(chan struct{}), over: make(chan struct{})}
@@ -392,11 +392,18 @@
 	return syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
 }
 
-func connect(addr string, within policy.Time) (net.Conn, error) {
-	d := net.Dialer{Timeout: time.Duration(within), KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, mostTaken) })
-	}}
-	return d.Dial("tcp", addr)
+// connect opens connections that leave from that address; nil: from whichever the kernel picks.
+func connect(from net.IP) func(addr string, within policy.Time) (net.Conn, error) {
+	var leave net.Addr
+	if from != nil {
+		leave = &net.TCPAddr{IP: from}
+	}
+	return func(addr string, within policy.Time) (net.Conn, error) {
+		d := net.Dialer{Timeout: time.Duration(within), KeepAlive: -1, LocalAddr: leave, Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, mostTaken) })
+		}}
+		return d.Dial("tcp", addr)
+	}
 }
 
 // dial opens the connection and tells the loop; dialling waits in a goroutine, as nbio's own neither says which
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -1,6 +1,7 @@
 package proto
 
 import (
+	"net"
 	"os"
 	"sync/atomic"
 
@@ -22,6 +23,7 @@
 	Aside       int // of these, for what stands beside the sidecar
 	Memory      int // bytes that messages in hand may take
 	ConnectIn   policy.Time
+	From        net.IP      // connections to servers leave from there; nil: from whichever address the kernel picks
 	IdleFor     policy.Time // servers close connections that stood idle for so long
 	Accept      policy.Time // for so long after the first sign of the end clients may come
 	Leave       policy.Time // from that sign to the last answer
