Drills draw ports below those that connections leave from

Cause: a keeper could not listen, as a connection of another process left from its address and port; seen as an election that never ended (two of three there, one of them dead since its start). A process that ends by itself now fails the play, with its last words. Also: apply goes back to the keeper that it asked where the one that led has gone.

--- a/cmd/pepperlead/versions.go
+++ b/cmd/pepperlead/versions.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -46,12 +47,17 @@
 // toKeepers is a call of the keepers' pages, at the one that leads.
 func toKeepers(at, path, kind string, body []byte) (string, error) {
 	client := http.Client{Timeout: 15 * time.Second}
-	for end := time.Now().Add(leadIn); time.Now().Before(end); {
+	for asked, end := at, time.Now().Add(leadIn); time.Now().Before(end); {
 		ask, err := http.NewRequest(kind, "http://"+at+path, bytes.NewReader(body))
 		if err != nil {
 			return "", err
 		}
 		answer, err := client.Do(ask)
+		if dial := (*net.OpError)(nil); at != asked && errors.As(err, &dial) && dial.Op == "dial" {
+			at = asked // who led is gone, and the others do not know yet: nothing was asked of it
+			time.Sleep(leadAgain)
+			continue
+		}
 		if err != nil {
 			return "", err
 		}
--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -4,7 +4,6 @@
 	"encoding/base64"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -127,15 +126,6 @@
 	return c, nil
 }
 
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 // offering is what all versions say of it, but for how it may be repeated.
 func offering(v Version) string {
 	text := fmt.Sprintf("[[offering]]\nname = \"step\"\nquoted_time = \"%v\"\ncut_off = \"%v\"\nrepeats = %q\n", quoted, cutOff, v.Repeats)
--- a/internal/drill/play.go
+++ b/internal/drill/play.go
@@ -84,8 +84,8 @@
 		return nil, err
 	}
 	r = &Result{Seed: seed}
-	if err := c.leased(ctx, startIn); err != nil {
-		return nil, fmt.Errorf("at the start: %w", err)
+	if err := c.leased(ctx, startIn); err != nil || len(c.ended()) > 0 {
+		return nil, errors.Join(fmt.Errorf("at the start: %w", err), errors.New(strings.Join(c.ended(), ", ")))
 	}
 	before := sums(c.sidecars)
 	r.Begun = int64(clock.True())
@@ -109,15 +109,11 @@
 	changes.Wait()
 	healed := time.Now()
 	c.Links.Heal()
+	r.Failed = append(r.Failed, c.ended()...)
 	for _, p := range c.Processes {
 		c.resume(p)
 	}
 	r.Marks = append(r.Marks, Mark{int64(clock.True()), "all is healed"})
-	for _, p := range c.Processes {
-		if log, _ := os.ReadFile(p.Log); strings.Contains(string(log), "panic: ") && !p.filled {
-			r.Failed = append(r.Failed, string(p.Name)+" has crashed")
-		}
-	}
 	if err := c.standing(); err != nil {
 		return nil, err
 	}
@@ -154,6 +150,17 @@
 	return r, nil
 }
 
+// ended tells of processes that have ended by themselves, with their last words.
+func (c *Cluster) ended() (all []string) {
+	for _, p := range c.Processes {
+		if p.proc != nil && !p.Runs() && !p.filled {
+			log, _ := os.ReadFile(p.Log)
+			all = append(all, fmt.Sprintf("%s has ended by itself: %s", p.Name, log[max(0, len(log)-300):]))
+		}
+	}
+	return all
+}
+
 // version is the one in force.
 func (s *Script) version(c *Cluster) *Version {
 	var name string
--- a/internal/drill/stage.go
+++ b/internal/drill/stage.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -128,19 +129,35 @@
 func own(i int) string     { return fmt.Sprintf("127.6.%d.%d", i/250, i%250+1) }
 func reached(i int) string { return fmt.Sprintf("127.7.%d.%d", i/250, i%250+1) }
 
+// Ports of drills lie below those from which the kernel has connections leave (ip_local_port_range, 32768 and up): processes connect from the
+// same addresses that others of their own listen at.
+const (
+	firstPort, lastPort = 10000, 32000
+	portTries           = 50
+)
+
 // ports are three that are free at the first process's address and at its door.
 func (s *Stage) ports() (front, pages, meets int, err error) {
 	for i, p := range []*int{&front, &pages, &meets} {
-		l, err := net.Listen("tcp", []string{own(0), own(0), reached(0)}[i]+":0")
-		if err != nil {
+		if *p, err = freePort([]string{own(0), own(0), reached(0)}[i]); err != nil {
 			return 0, 0, 0, err
 		}
-		defer l.Close()
-		*p = l.Addr().(*net.TCPAddr).Port
 	}
 	return front, pages, meets, nil
 }
 
+// freePort draws one that is free at that address; drills side by side draw others.
+func freePort(ip string) (port int, err error) {
+	for range portTries {
+		port = firstPort + rand.IntN(lastPort-firstPort)
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port)); err == nil {
+			return port, l.Close()
+		}
+	}
+	return 0, err
+}
+
 func (p *Process) config() string { return filepath.Join(p.stage.dir, string(p.Name)+".toml") }
 
 // Start starts it, also again after Kill.
