--- a/cmd/pepperlab/yardsticks.go
+++ b/cmd/pepperlab/yardsticks.go
@@ -49,6 +49,7 @@
 		Example: "  pepperlab cost --daemon now=bin/pepperlead --clients 1,16 --rounds 5 --each 3s\n" +
 			"  pepperlab cost --daemon before=/path/to/an/earlier/pepperlead --daemon now=bin/pepperlead"}
 	daemons := c.Flags().StringArray("daemon", []string{"now=bin/pepperlead"}, "a daemon's `label=program`; several are measured side by side")
+	products := c.Flags().StringArray("product", nil, "a `label=program=file`: by the product's configuration, with what the file adds to it, as [peers]")
 	clients := c.Flags().IntSlice("clients", []int{1, 16}, "clients at once")
 	rounds := c.Flags().Int("rounds", 5, "rounds, in each of which every subject is measured once")
 	each := c.Flags().Duration("each", 3*time.Second, "how long each is measured")
@@ -69,14 +70,10 @@
 			p := exec.CommandContext(ctx, self, append([]string{"plain", listen}, servers...)...)
 			return p, p.Start()
 		}}}
-		for _, d := range *daemons {
-			label, program, ok := strings.Cut(d, "=")
-			if !ok {
-				return fmt.Errorf("--daemon: found %q, allowed label=program", d)
-			}
+		subject := func(label, program string, text func(listen string, servers []string) []byte) {
 			subjects = append(subjects, yardstick.Subject{Label: label, Start: func(listen string, servers []string) (*exec.Cmd, error) {
-				path := filepath.Join(dir, label+".json")
-				if err := os.WriteFile(path, yardstick.PlatformJSON(listen, servers), 0o600); err != nil {
+				path := filepath.Join(dir, label)
+				if err := os.WriteFile(path, text(listen, servers), 0o600); err != nil {
 					return nil, err
 				}
 				p := exec.CommandContext(ctx, program, "serve", "-config", path, "-log", "error")
@@ -85,6 +82,26 @@
 				return p, p.Start()
 			}})
 		}
+		for _, d := range *daemons {
+			label, program, ok := strings.Cut(d, "=")
+			if !ok {
+				return fmt.Errorf("--daemon: found %q, allowed label=program", d)
+			}
+			subject(label, program, yardstick.PlatformJSON)
+		}
+		for _, d := range *products {
+			parts := strings.Split(d, "=")
+			if len(parts) != 3 {
+				return fmt.Errorf("--product: found %q, allowed label=program=file", d)
+			}
+			more, err := os.ReadFile(parts[2])
+			if err != nil {
+				return err
+			}
+			subject(parts[0], parts[1], func(listen string, servers []string) []byte {
+				return yardstick.ProductTOML(listen, servers, string(more))
+			})
+		}
 		var all []yardstick.Cost
 		for _, n := range *clients {
 			got, err := yardstick.Run(ctx, self, subjects, n, *rounds, *each)
--- a/internal/agreement/rules.go
+++ b/internal/agreement/rules.go
@@ -36,10 +36,11 @@
 type Rules struct {
 	Offerings  []Named
 	Franchises []Franchise
-	Servers    []Server // ready ones; Open: any that a list names
-	Open       bool     // the version says nothing of servers
-	Instances  int      // sidecars among which budgets are split
-	ColdShare  float64  // part of its work that a cold server can do
+	Servers    []Server          // ready ones; Open: any that a list names
+	Open       bool              // the version says nothing of servers
+	Bans       []policy.ServerID // taken out by hand, whoever lists them; in order
+	Instances  int               // sidecars among which budgets are split
+	ColdShare  float64           // part of its work that a cold server can do
 	ColdTime   policy.Time
 	Fall       float64 // times what it can do that make a cold server fall over; 0: it gets nothing
 }
@@ -59,8 +60,8 @@
 func (o Offering) Numbered() bool { return o.Repeats && (o.Zone || o.Cell || o.Window < math.MaxInt64) }
 
 // RulesOf is what binds of a campaign whose offerings are cut off at these times. servers: nil where it says nothing of them.
-func RulesOf(c *policy.Campaign, cutOffs []policy.Time, servers []policy.Member) Rules {
-	r := Rules{Open: servers == nil, Instances: c.Sidecars, ColdShare: c.ColdShare, ColdTime: c.ColdTime, Fall: c.FallMultiple}
+func RulesOf(c *policy.Campaign, cutOffs []policy.Time, servers []policy.Member, bans []policy.ServerID) Rules {
+	r := Rules{Open: servers == nil, Bans: slices.Sorted(slices.Values(bans)), Instances: c.Sidecars, ColdShare: c.ColdShare, ColdTime: c.ColdTime, Fall: c.FallMultiple}
 	for i, o := range c.Offerings {
 		one := Offering{CutOff: cutOffs[i]}
 		switch o.Repeats {
@@ -160,6 +161,7 @@
 			}
 			return Franchise{x.Name, min(x.Quota, y.Quota)}, true
 		})
+	r.Bans = slices.Compact(slices.Sorted(slices.Values(slices.Concat(a.Bans, b.Bans))))
 	r.Servers = merge(a.Servers, b.Servers, func(x, y Server) int { return cmp.Compare(x.ID, y.ID) }, func(x, y *Server) (Server, bool) {
 		switch {
 		case x == nil:
@@ -209,6 +211,11 @@
 			return false
 		}
 	}
+	for _, id := range r.Bans {
+		if _, banned := slices.BinarySearch(other.Bans, id); !banned {
+			return false
+		}
+	}
 	for _, s := range other.Servers {
 		i := slices.IndexFunc(r.Servers, func(mine Server) bool { return mine.ID == s.ID })
 		if i < 0 && !r.Open || i >= 0 && s.Started < r.Servers[i].Started {
--- a/internal/daemon/agreed.go
+++ b/internal/daemon/agreed.go
@@ -38,7 +38,7 @@
 func ownVersion(c *policy.Campaign, cutOffs []policy.Time) *engine.Version {
 	own := *c
 	own.Offerings, own.Franchises = slices.Clone(c.Offerings), slices.Clone(c.Franchises)
-	return &engine.Version{Version: agreement.Version{Rules: agreement.RulesOf(&own, cutOffs, nil)}, Campaign: &own}
+	return &engine.Version{Version: agreement.Version{Rules: agreement.RulesOf(&own, cutOffs, nil, nil)}, Campaign: &own}
 }
 
 // readVersion makes a version of a page. The error has a line for each fault.
@@ -48,7 +48,7 @@
 		return nil, err
 	}
 	servers := members(v.Servers)
-	return &engine.Version{Version: agreement.Version{Number: p.Number, Digest: p.Digest, Rules: agreement.RulesOf(v.Campaign, v.CutOffs, servers)},
+	return &engine.Version{Version: agreement.Version{Number: p.Number, Digest: p.Digest, Rules: agreement.RulesOf(v.Campaign, v.CutOffs, servers, v.Bans)},
 		Campaign: v.Campaign, Servers: v.Servers, Table: policy.Unpacked(p.Table, servers)}, nil
 }
 
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -40,7 +41,7 @@
 		ready[s.ID] = s.Standing == policy.Ready
 	}
 	for _, s := range next.Servers {
-		if s.Standing == policy.Ready && ready[s.ID] {
+		if s.Standing == policy.Ready && ready[s.ID] && !slices.Contains(next.Bans, s.ID) && !slices.Contains(now.Bans, s.ID) {
 			return nil
 		}
 	}
--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -111,6 +111,9 @@
 	}
 	for _, v := range script.Versions {
 		text := fmt.Sprintf("# %s\n[fleet]\ninstances = %d\n", v.Name, script.Sidecars) + offering(v)
+		if len(v.Bans) > 0 {
+			text += "[bans]\nservers = [\"" + strings.Join(v.Bans, "\", \"") + "\"]\n"
+		}
 		if v.Servers != nil {
 			text += source(v.Servers)
 		}
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -14,6 +14,7 @@
 	Repeats string // "reissuable", "numbered" or "at-most-once"
 	Window  time.Duration
 	Servers []string // nil: any
+	Bans    []string
 }
 
 // Acts is a moment at which a process said by what it acts.
@@ -159,8 +160,8 @@
 			continue
 		}
 		for _, n := range s.Of {
-			if one := h.Versions[n]; one.Servers != nil && !slices.Contains(one.Servers, s.Server) {
-				v.fault("%s pushed %s to %s by %v, and %d does not name that", s.Process, s.ID, s.Server, s.Of, n)
+			if one := h.Versions[n]; one.Servers != nil && !slices.Contains(one.Servers, s.Server) || slices.Contains(one.Bans, s.Server) {
+				v.fault("%s pushed %s to %s by %v, and %d does not name that, or bans it", s.Process, s.ID, s.Server, s.Of, n)
 			}
 		}
 	}
--- a/internal/drill/judge/judge_test.go
+++ b/internal/drill/judge/judge_test.go
@@ -18,7 +18,7 @@
 // Each history breaks one thing, and the judge must find just that.
 func TestPlantedFaultsAreFound(t *testing.T) {
 	versions := map[int]Version{0: {Repeats: "at-most-once"}, 1: {Repeats: "reissuable"}, 2: {Repeats: "numbered", Window: second},
-		3: {Repeats: "at-most-once", Servers: []string{"a"}}}
+		3: {Repeats: "at-most-once", Servers: []string{"a"}, Bans: []string{"c"}}}
 	twice := []Ran{{"x", "a", int64(2 * second)}, {"x", "b", int64(3 * second)}}
 	for what, one := range map[string]struct {
 		h       History
@@ -46,6 +46,7 @@
 			push("x", "b", 1, acts("p", 2500*time.Millisecond, false, 1))}}},
 		"ran, and nobody sent it":    {broken: 1, h: History{Ran: twice, Steps: []Step{push("x", "a", 0, acts("p", second, true, 1))}}},
 		"a server that is not named": {broken: 1, h: History{Steps: []Step{push("x", "b", 0, acts("p", second, true, 3))}}},
+		"a server that is banned":    {broken: 1, h: History{Steps: []Step{push("x", "c", 0, acts("p", second, true, 3))}}},
 		"no answer":                  {broken: 1, h: History{Asked: []Asked{{ID: "x", Process: "p", At: 1, Ended: int64(second)}}}},
 		"no answer of one that died": {h: History{Asked: []Asked{{ID: "x", Process: "p", At: 1, Ended: int64(second)}},
 			Down: []Down{{"p", 5, 6}}}},
--- a/internal/drill/read.go
+++ b/internal/drill/read.go
@@ -75,5 +75,5 @@
 }
 
 func meaning(v Version) judge.Version {
-	return judge.Version{Repeats: v.Repeats, Window: v.Window, Servers: v.Servers}
+	return judge.Version{Repeats: v.Repeats, Window: v.Window, Servers: v.Servers, Bans: v.Bans}
 }
--- a/internal/drill/script.go
+++ b/internal/drill/script.go
@@ -34,6 +34,7 @@
 	Repeats string
 	Window  time.Duration
 	Servers []string // nil: the sidecars' own source's
+	Bans    []string
 }
 
 // Doing is something that is done at its moment.
@@ -92,6 +93,7 @@
 		t.Require("name", "repeats")
 		kinds := []string{"reissuable", "numbered", "at-most-once"}
 		v := Version{Name: t.Text("name", ""), Repeats: kinds[t.OneOf("repeats", 2, kinds...)], Window: span(t, "window", time.Second)}
+		v.Bans = t.Texts("bans")
 		if t.Has("servers") {
 			v.Servers = append([]string{}, t.Texts("servers")...)
 		}
--- a/internal/engine/byhand.go
+++ b/internal/engine/byhand.go
@@ -49,11 +49,11 @@
 	}
 }
 
-// shown is what everybody is told of an entry. A server that is out by hand drains, whatever the list says; one that was called
+// shown is what everybody is told of an entry. A server that is out by hand or banned drains, whatever the list says; one that was called
 // back was restarted meanwhile, whether or not the list tells so yet.
 func (f *members) shown(e roster.Entry) roster.Entry {
 	h := f.byHand[e.UID]
-	if h.out && e.Standing == policy.Ready {
+	if _, banned := slices.BinarySearch(f.banned, e.ID); (h.out || banned) && e.Standing == policy.Ready {
 		e.Standing = policy.Draining
 	}
 	e.Started = max(e.Started, h.back)
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -33,8 +33,9 @@
 	seen    map[policy.ServerID]struct{}
 	order   []policy.ServerID // of those seen, a ring
 	oldest  int
-	closed  bool           // versions say which servers there are
-	own     []roster.Entry // what the source said last, where there are versions
+	banned  []policy.ServerID // by versions
+	closed  bool              // versions say which servers there are
+	own     []roster.Entry    // what the source said last, where there are versions
 }
 
 // start runs a source beside the loop.
--- a/internal/engine/terms.go
+++ b/internal/engine/terms.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -158,6 +159,7 @@
 		t.leased, t.last = leased, slices.Clone(t.holder.InForce())
 		e.Acting().Infof("rules: %s", map[bool]string{true: "by what these versions allow", false: "no lease: nothing is repeated, nothing goes to cold servers"}[leased])
 	}
+	e.list.ban(r.Bans)
 	// What is older than the latest grant names nobody any more; what only may come does without a lease.
 	said = slices.DeleteFunc(said, func(v *Version) bool {
 		return v.Number < oldest(t.holder) || leased && !slices.Contains(t.holder.InForce(), v.Number)
@@ -314,6 +316,25 @@
 	f.apply(f.e.Clock.Now(), &roster.List{Kind: policy.ListFull, Entries: all})
 }
 
+// ban takes out the servers that a version bans, and calls back those that none does any more.
+func (f *members) ban(ids []policy.ServerID) {
+	if slices.Equal(f.banned, ids) {
+		return
+	}
+	f.banned = slices.Clone(ids)
+	var changed []policy.Member
+	for _, id := range slices.Sorted(maps.Keys(f.e.Servers)) {
+		if s := f.e.Servers[id]; s.Listed {
+			if shown := f.shown(s.Said); shown.Standing == policy.Ready == s.Leaving && f.know(shown) {
+				changed = append(changed, shown.Member)
+			}
+		}
+	}
+	if len(changed) > 0 {
+		f.e.Module.List(f.e.Clock.Now(), policy.ListChanges, changed)
+	}
+}
+
 // keep notes what the own source tells while versions say which servers there are.
 func (f *members) keep(l *roster.List) {
 	if l.Kind != policy.ListChanges {
--- a/internal/engine/terms_test.go
+++ b/internal/engine/terms_test.go
@@ -43,7 +43,7 @@
 	for _, s := range servers {
 		members = append(members, s.Member)
 	}
-	return &Version{Version: agreement.Version{Number: n, Digest: [32]byte{byte(n)}, Rules: agreement.RulesOf(c, cutOffs, members)}, Campaign: c, Servers: servers}
+	return &Version{Version: agreement.Version{Number: n, Digest: [32]byte{byte(n)}, Rules: agreement.RulesOf(c, cutOffs, members, nil)}, Campaign: c, Servers: servers}
 }
 
 func TestRulesComeAndGoWithoutARestart(t *testing.T) {
@@ -114,8 +114,24 @@
 		f.offers["b"] != policy.NoOffering || f.quotes["f"] != policy.NoFranchise || !e.Servers[9].Listed {
 		t.Fatalf("laxer than what is in hand was promised: %+v %+v", campaign.Offerings, f)
 	}
+	ban := versionOf(4, nil, nil, offering("a", policy.Reissuable))
+	ban.Rules.Bans = []policy.ServerID{9}
+	if !e.Learn(ban) {
+		t.Fatal("not learned")
+	}
+	grant(policy.Second*100, 3, 4)
+	if !e.Servers[9].Leaving {
+		t.Error("a banned server is used")
+	}
+	grant(policy.Second*100, 4)
+	if !e.Learn(versionOf(5, nil, nil, offering("a", policy.Reissuable))) {
+		t.Fatal("not learned")
+	}
+	if grant(policy.Second*100, 5); e.Servers[9].Leaving {
+		t.Error("a server that is banned no more is not used")
+	}
 	// The lease runs out between a decision and its write.
-	grant(30*policy.Millisecond, 3)
+	grant(30*policy.Millisecond, 5)
 	second := e.Take(0)
 	now = e.Clock.Now()
 	e.Admit(now, now, second, f.offers["a"], policy.NoFranchise, "k", false, 2*policy.Second)
--- a/internal/installation/version.go
+++ b/internal/installation/version.go
@@ -15,9 +15,10 @@
 
 // Version is what a version of the rules says: what binds, by which all sidecars of a cluster go.
 type Version struct {
-	Campaign *policy.Campaign // offerings, franchises, instances, cold servers
-	CutOffs  []policy.Time    // by offering
-	Servers  []listing.Entry  // nil: it says nothing of servers
+	Campaign *policy.Campaign  // offerings, franchises, instances, cold servers
+	CutOffs  []policy.Time     // by offering
+	Servers  []listing.Entry   // nil: it says nothing of servers
+	Bans     []policy.ServerID // taken out, whoever lists them
 }
 
 // ReadVersion reads a version. The error has a line for each fault.
@@ -26,6 +27,7 @@
 	in := &Installation{Campaign: &policy.Campaign{Tick: 5 * policy.Millisecond}}
 	c := in.Campaign
 	var servers []listing.Entry
+	var bans []policy.ServerID
 	if doc.Err() == nil {
 		root.Require("fleet", "offering")
 		fleet := root.Table("fleet")
@@ -46,6 +48,11 @@
 			}
 		}
 		in.franchises(root)
+		banned := root.Table("bans")
+		for _, id := range banned.Texts("servers") {
+			bans = append(bans, listing.IDOf(id))
+		}
+		banned.Done()
 		for _, t := range root.Tables("server") {
 			servers = append(servers, listing.ReadServer(t))
 		}
@@ -57,7 +64,7 @@
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
-	return &Version{Campaign: c, CutOffs: in.CutOffs, Servers: servers}, nil
+	return &Version{Campaign: c, CutOffs: in.CutOffs, Servers: servers, Bans: bans}, nil
 }
 
 // Keeping is what a keeper of versions is told.
--- a/internal/yardstick/cost.go
+++ b/internal/yardstick/cost.go
@@ -100,6 +100,16 @@
 	return b
 }
 
+// ProductTOML is a configuration of the product's own, with whatever more it is to have.
+func ProductTOML(listen string, servers []string, more string) []byte {
+	text := fmt.Sprintf("[front.http]\nlisten = %q\n[[offering]]\nname = \"step\"\nquoted_time = \"1s\"\ncut_off = \"2s\"\nrepeats = \"reissuable\"\n"+
+		"[source]\nkind = \"fixed\"\n", listen)
+	for i, s := range servers {
+		text += fmt.Sprintf("[[source.server]]\nid = \"s-%d\"\naddress = %q\n", i, s)
+	}
+	return []byte(text + more)
+}
+
 // Run measures each subject for some time before some clients, one after another, round by round, so that a drift of the
 // machine's speed meets all alike. self is the program that has the command "backend ADDRESS".
 func Run(ctx context.Context, self string, subjects []Subject, clients, rounds int, each time.Duration) ([]Cost, error) {
