--- a/internal/agreement/explore_test.go
+++ b/internal/agreement/explore_test.go
@@ -31,6 +31,7 @@
 // bounds say how much may happen in one exploration.
 type bounds struct {
 	asks, leaders int
+	holders       int // 0: two
 	slow, restart bool // the first sidecar's clock loses moments; it starts again once
 }
 
@@ -205,7 +206,7 @@
 
 // explore looks at every scene that can be reached, and counts them. It ends at the first contradiction.
 func explore(f fault, b bounds, most int) (scenes int, whole, found bool) {
-	first := scene{holders: make([]Holder, 2), lives: make([]uint32, 2), leaders: []Granter{*NewGranter(1, span, drift, 1, 1, 0)}}
+	first := scene{holders: make([]Holder, max(2, b.holders)), lives: make([]uint32, 2), leaders: []Granter{*NewGranter(1, span, drift, 1, 1, 0)}}
 	for i := range first.holders {
 		h := NewHolder(0)
 		h.Learn(version(1))
@@ -237,7 +238,7 @@
 		}
 		return
 	}
-	for _, b := range []bounds{{asks: 2, leaders: 2}, {asks: 2, leaders: 1, slow: true, restart: true}, {asks: 3, leaders: 1}} {
+	for _, b := range []bounds{{asks: 2, leaders: 2, holders: 3}, {asks: 2, leaders: 1, slow: true, restart: true}, {asks: 3, leaders: 1}} {
 		scenes, whole, found := explore(none, b, most)
 		if t.Logf("%+v: %d scenes", b, scenes); found || !whole {
 			t.Errorf("%+v: a contradiction: %v, all looked at: %v", b, found, whole)
