--- a/cmd/pepperlab/drillplay.go
+++ b/cmd/pepperlab/drillplay.go
@@ -117,8 +117,8 @@
 		fmt.Fprintf(out, "  %s at %.1f s: version %d, known to sidecars within %.2f s (half), %.2f s (99%%), %.2f s (all), alone within %.2f s\n", a.Version,
 			a.At, a.Number, a.P50, a.P99, a.Most, a.Alone)
 	}
-	fmt.Fprintf(out, "  agreed %.1f s after all was healed; %.1f s without a lease over all; one sidecar: %.1f packets and %.0f bytes a second, %.4f of a core\n",
-		r.Converged, r.Unleased, r.Packets, r.Bytes, r.CPU)
+	fmt.Fprintf(out, "  agreed %.1f s after all was healed; %.1f s without a lease and %.0f times held to be gone over all; one sidecar: %.1f packets and %.0f bytes a second, %.4f of a core\n",
+		r.Converged, r.Unleased, r.Gone, r.Packets, r.Bytes, r.CPU)
 	fmt.Fprintf(out, "  links took %.1f ms (99%%), the clock was looked at %.0f ms late at the worst\n", r.OwnDelay*1000, r.Late*1000)
 	if r.Tables > 0 {
 		fmt.Fprintf(out, "  %d slot tables at the end\n", r.Tables)
--- a/internal/agreement/explore_test.go
+++ b/internal/agreement/explore_test.go
@@ -31,7 +31,7 @@
 // bounds say how much may happen in one exploration.
 type bounds struct {
 	asks, leaders int
-	holders       int // 0: two
+	holders       int  // 0: two
 	slow, restart bool // the first sidecar's clock loses moments; it starts again once
 }
 
--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -33,6 +33,7 @@
 	knows    *Process // keeper that knows the latest version
 	client   http.Client
 	asking   sync.WaitGroup
+	over     chan struct{} // closed: the script is
 	quiet    chan struct{} // closed: clients ask no more
 
 	mu    sync.Mutex
@@ -52,7 +53,7 @@
 // BeginCluster starts all processes at once. The caller ends them by Close, also after an error.
 func BeginCluster(program, dir string, script *Script, seed uint64) (*Cluster, error) {
 	c := &Cluster{Stage: &Stage{Links: links.New(seed), dir: dir, program: program, asks: http.Client{Timeout: 2 * time.Second}}, script: script,
-		chance: rand.New(rand.NewPCG(seed, 1)), quiet: make(chan struct{}), since: map[*Process]int64{}}
+		chance: rand.New(rand.NewPCG(seed, 1)), quiet: make(chan struct{}), over: make(chan struct{}), since: map[*Process]int64{}}
 	c.client = http.Client{Timeout: answerIn, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Second}}
 	key := base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf("%016x", seed)))
 	if err := os.WriteFile(filepath.Join(dir, "key"), []byte(key), 0o600); err != nil {
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -46,6 +46,13 @@
 		t.Errorf("%v\n%+v", err, c)
 	}
 	t.Logf("%+v", c)
+	dropped := 0.0
+	for _, p := range s.Processes[1:3] { // the first has left
+		dropped += p.Figure("pepperlead_peers_dropped_total")
+	}
+	if dropped == 0 {
+		t.Error("nobody has counted what strangers sent")
+	}
 	for _, p := range s.Processes[:3] {
 		if !p.Said("budgets are shared among 5, 3 are configured") || p.Said("shared among 2") {
 			log, _ := os.ReadFile(p.Log)
--- a/internal/drill/play.go
+++ b/internal/drill/play.go
@@ -45,6 +45,7 @@
 	Tables     int     // different slot tables at the end, where versions name the servers; they must be one
 	Void       bool    // the machine stood still for longer than the lease: no figure means anything
 	Failed     []string
+	Gone       float64 // times that a sidecar took another for gone, over all
 	Packets    float64 // a second, one sidecar
 	Bytes, CPU float64
 	History    *judge.History `json:"-"`
@@ -106,6 +107,7 @@
 		return nil, ctx.Err()
 	case <-time.After(s.Seconds - time.Since(begin)):
 	}
+	close(c.over)
 	changes.Wait()
 	healed := time.Now()
 	c.Links.Heal()
@@ -133,6 +135,7 @@
 	close(c.quiet)
 	c.asking.Wait()
 	after, share := sums(c.sidecars), 1/time.Since(begin).Seconds()/float64(len(c.sidecars))
+	r.Gone = after[3] - before[3]
 	r.Packets, r.Bytes, r.CPU = (after[0]-before[0])*share, (after[1]-before[1])*share, (after[2]-before[2])*share
 	h := &judge.History{CutOff: cutOff, Slack: 250*time.Millisecond + late()}
 	if err := errors.Join(c.meant(h), c.written(h)); err != nil {
@@ -389,6 +392,10 @@
 			all.Go(p.Kill)
 		}
 		all.Wait()
+	case "throttle":
+		for _, p := range who {
+			changes.Go(func() { p.throttle(ctx, c.over) })
+		}
 	case "fill-disk":
 		for _, p := range who {
 			fail(p.full())
@@ -489,6 +496,27 @@
 	}
 }
 
+// throttle leaves the process a tenth of the time, as a quota of CPU does (cpu.max, period 100 ms), until the script is over.
+func (p *Process) throttle(ctx context.Context, until <-chan struct{}) {
+	const period = 100 * time.Millisecond
+	for p.Runs() {
+		p.proc.Process.Signal(unix.SIGSTOP)
+		select {
+		case <-ctx.Done():
+		case <-until:
+		case <-time.After(period * 9 / 10):
+		}
+		p.proc.Process.Signal(unix.SIGCONT)
+		select {
+		case <-ctx.Done():
+			return
+		case <-until:
+			return
+		case <-time.After(period / 10):
+		}
+	}
+}
+
 // full lets the process's files grow no more, as on a full disk.
 func (p *Process) full() error {
 	p.filled = true // it ends there: what raft has not written it must not act on
--- a/internal/drill/script.go
+++ b/internal/drill/script.go
@@ -58,7 +58,7 @@
 
 // verbs are what can be done, and what each needs.
 var verbs = map[string][]string{"apply": {"version"}, "rollback": {"number"}, "withdraw": {"number"}, "part": {"from", "to"}, "cut": {"from", "to"},
-	"weather": nil, "heal": nil, "stall": {"who"}, "go": {"who"}, "kill": {"who"}, "start": {"who"}, "fill-disk": {"who"}, "damage": {"who"}}
+	"weather": nil, "heal": nil, "stall": {"who"}, "go": {"who"}, "kill": {"who"}, "start": {"who"}, "throttle": {"who"}, "fill-disk": {"who"}, "damage": {"who"}}
 
 const mostScript = 1 << 18
 
--- a/internal/engine/terms.go
+++ b/internal/engine/terms.go
@@ -56,7 +56,9 @@
 	names := len(e.labels)
 	e.names.Store(int64(names))
 	e.labels = append(e.labels, make([][Results]string, mostPlaces-names)...)
-	e.Learn(own)
+	t.holder.Learn(own.Version)
+	t.of[own.Number] = own
+	t.leased = true // its offerings are there from the first moment, by the floor of what it says: nothing has changed that is worth a line
 	e.act(&own.Rules, true)
 	e.obey()
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -267,6 +267,9 @@
 				lacks = append(lacks, p)
 			}
 		}
+		if len(k.told) > mostAsked {
+			clear(k.told) // of addresses that come and go
+		}
 		k.told[q.from] = time.Now()
 	}
 	k.mu.Unlock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -85,6 +86,8 @@
 	next  int              // whom to seek next
 	joins uint64
 	gone  uint64
+
+	dropped atomic.Uint64 // packets and connections of another key or cluster
 }
 
 // ReadKey takes a key from a file: base64 of 16, 24 or 32 bytes.
@@ -105,7 +108,7 @@
 	c := &Company{post: p, log: log, stop: make(chan struct{}), peers: map[string]*Peer{}, says: Says{Zone: p.Zone, Since: time.Now().UnixNano(), Keeper: p.Keeper}}
 	conf := memberlist.DefaultLANConfig()
 	conf.Name, conf.Label, conf.SecretKey = p.Name, p.Cluster, p.Key
-	conf.Logger = quiet(log)
+	conf.Logger = quiet(log, &c.dropped)
 	conf.Delegate, conf.Events, conf.Ping, conf.Conflict = c, c, c, c
 	// Half a second between probes, and at most three times the least suspicion before one counts as gone: with memberlist's own figures
 	// for a LAN five processes needed up to 59 s for a cut, as few are left to confirm it.
@@ -277,6 +280,7 @@
 	each("peers_own_health", float64(c.list.GetHealthScore()), false)
 	each("peers_joined", float64(joins), true)
 	each("peers_gone", float64(gone), true)
+	each("peers_dropped", float64(c.dropped.Load()), true)
 	each("peers_packets_sent", float64(c.wire.packets.Load()), true)
 	each("peers_bytes_sent", float64(c.wire.bytes.Load()), true)
 }
@@ -369,11 +373,21 @@
 func (c *Company) MergeRemoteState([]byte, bool)   {}
 
 // quiet turns memberlist's lines into the sidecar's, at debug: what matters of them is told as a change of who is there.
-func quiet(to *logrus.Logger) *log.Logger { return log.New(lines{to}, "", 0) }
+// Packets that it drops it tells nowhere else.
+func quiet(to *logrus.Logger, dropped *atomic.Uint64) *log.Logger {
+	return log.New(lines{to, dropped}, "", 0)
+}
 
-type lines struct{ to *logrus.Logger }
+type lines struct {
+	to      *logrus.Logger
+	dropped *atomic.Uint64
+}
 
 func (l lines) Write(b []byte) (int, error) {
+	if s := string(b); strings.Contains(s, "Decrypt packet failed") || strings.Contains(s, "unacceptable label") ||
+		strings.Contains(s, "failed to receive") && strings.Contains(s, "crypt") {
+		l.dropped.Add(1)
+	}
 	l.to.Debug("peers: " + strings.TrimSpace(string(b)))
 	return len(b), nil
 }
