--- a/cmd/pepperlab/drillplay.go
+++ b/cmd/pepperlab/drillplay.go
@@ -26,6 +26,7 @@
 	seed := c.Flags().Uint64("seed", 1, "names the play; the first of them")
 	seeds := c.Flags().Uint64("seeds", 1, "plays of each drill, one after the other")
 	count := c.Flags().Int("count", 0, "sidecars (default as the drill says)")
+	rate := c.Flags().Float64("rate", 0, "requests a second at each sidecar (default as the drill says)")
 	daemon := c.Flags().String("daemon", "bin/pepperlead", "the daemon's `program`")
 	asJSON := c.Flags().Bool("json", false, "print each result as a line of JSON")
 	report := c.Flags().String("report", "", "`folder` for a page of HTML a play")
@@ -46,6 +47,9 @@
 			if *count > 0 {
 				s.Sidecars = *count
 			}
+			if *rate > 0 {
+				s.Rate = *rate
+			}
 			scripts = append(scripts, s)
 		}
 		bars := mpb.NewWithContext(ctx, mpb.WithOutput(os.Stderr), mpb.WithWidth(40))
