--- a/internal/drill/peers.go
+++ b/internal/drill/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"pepperlead/internal/links"
@@ -136,19 +137,13 @@
 
 // clockLateness does nothing but look at the clock: where hundreds of processes share few cores, the scheduler's delay looks like a stall.
 func clockLateness(ctx context.Context) (latest func() time.Duration) {
-	told := make(chan time.Duration)
+	var worst atomic.Int64
 	go func() {
-		var worst time.Duration
-		for {
+		for ctx.Err() == nil {
 			start := time.Now()
-			select {
-			case <-ctx.Done():
-				return
-			case told <- worst:
-			case <-time.After(5 * time.Millisecond):
-				worst = max(worst, time.Since(start)-5*time.Millisecond)
-			}
+			time.Sleep(5 * time.Millisecond)
+			worst.Store(max(worst.Load(), int64(time.Since(start)-5*time.Millisecond)))
 		}
 	}()
-	return func() time.Duration { return <-told }
+	return func() time.Duration { return time.Duration(worst.Load()) }
 }
