--- a/internal/drill/play.go
+++ b/internal/drill/play.go
@@ -459,10 +459,6 @@
 
 // spread finds how long each change took to reach the sidecars that were there, and how long they had no lease.
 func (r *Result) spread(h *judge.History) {
-	there := map[string]bool{}
-	for _, a := range h.Changes {
-		there[a.Process] = true
-	}
 	for i := range r.Applied {
 		a := &r.Applied[i]
 		if a.Number == 0 || a.Failed != "" || strings.HasPrefix(a.Version, "withdraw") {
@@ -481,20 +477,20 @@
 			}
 		}
 		from := r.Begun + int64(a.At*1e9)
-		var took []float64
-		for p, at := range any {
-			if !slices.ContainsFunc(h.Down, func(d judge.Down) bool { return d.Process == p && d.To-int64(answerIn) > from && d.From < at }) {
-				took = append(took, float64(at-from)/1e9)
+		took := func(until map[string]int64) (all []float64) {
+			for p, at := range until {
+				if !slices.ContainsFunc(h.Down, func(d judge.Down) bool { return d.Process == p && d.To-int64(answerIn) > from && d.From < at }) {
+					all = append(all, float64(at-from)/1e9)
+				}
 			}
+			slices.Sort(all)
+			return all
 		}
-		slices.Sort(took)
-		if n := len(took); n > 0 {
-			a.P50, a.P99, a.Most = took[n/2], took[min(n-1, n*99/100)], took[n-1]
+		if t := took(any); len(t) > 0 {
+			a.P50, a.P99, a.Most = t[len(t)/2], t[min(len(t)-1, len(t)*99/100)], t[len(t)-1]
 		}
-		for p, at := range alone {
-			if !slices.ContainsFunc(h.Down, func(d judge.Down) bool { return d.Process == p && d.To-int64(answerIn) > from && d.From < at }) {
-				a.Alone = max(a.Alone, float64(at-from)/1e9)
-			}
+		if t := took(alone); len(t) > 0 {
+			a.Alone = max(0, t[len(t)-1])
 		}
 	}
 	off := map[string]int64{}
