--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -119,20 +119,24 @@
 // Close ends all connections.
 func (s *Server) Close() error { return s.http.Close() }
 
+// Metric hands each figure on as a metric of ours, under that help.
+func Metric(to chan<- prometheus.Metric, help string) func(name string, value float64, rises bool) {
+	return func(name string, value float64, rises bool) {
+		kind, suffix := prometheus.GaugeValue, ""
+		if rises {
+			kind, suffix = prometheus.CounterValue, "_total"
+		}
+		to <- prometheus.MustNewConstMetric(prometheus.NewDesc("pepperlead_"+name+suffix, help, nil, nil), kind, value)
+	}
+}
+
 // figures gives the counters to Prometheus, made anew at each call.
 type figures struct{ of Sidecar }
 
 func (figures) Describe(chan<- *prometheus.Desc) {} // unchecked: which there are is known only when asked
 
 func (f figures) Collect(to chan<- prometheus.Metric) {
-	f.of.Figures(func(name string, value float64, rises bool) {
-		kind, suffix := prometheus.GaugeValue, ""
-		if rises {
-			kind, suffix = prometheus.CounterValue, "_total"
-		}
-		desc := prometheus.NewDesc("pepperlead_"+name+suffix, "See docs/oncall.md.", nil, nil)
-		to <- prometheus.MustNewConstMetric(desc, kind, value)
-	})
+	f.of.Figures(Metric(to, "See docs/oncall.md."))
 	f.of.Each(func(name, labels string, n int64, rises bool) {
 		kind := prometheus.GaugeValue
 		if rises {
--- a/internal/group/pages.go
+++ b/internal/group/pages.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"pepperlead/internal/admin"
 	"pepperlead/internal/agreement"
 )
 
@@ -163,13 +164,7 @@
 func (figures) Describe(chan<- *prometheus.Desc) {} // unchecked: which there are is known only when asked
 
 func (f figures) Collect(to chan<- prometheus.Metric) {
-	one := func(name string, value float64, rises bool) {
-		kind, suffix := prometheus.GaugeValue, ""
-		if rises {
-			kind, suffix = prometheus.CounterValue, "_total"
-		}
-		to <- prometheus.MustNewConstMetric(prometheus.NewDesc("pepperlead_"+name+suffix, "See docs/agreement.md.", nil, nil), kind, value)
-	}
+	one := admin.Metric(to, "See docs/agreement.md.")
 	f.of.Figures(one)
 	if c := f.of.company.Load(); c != nil {
 		c.Figures(one)
