--- a/internal/daemon/company.go
+++ b/internal/daemon/company.go
@@ -58,7 +58,7 @@
 				a.of.Store(c)
 			}
 			table, there := uint64(0), c.Alive()
-			if a.Within(countIn, func() { a.Among(there); a.Adopt(); table = a.Module.Table() }) {
+			if a.Within(countIn, func() { a.Among(there); table = a.Table() }) {
 				c.Say(a.version(), table)
 			}
 		}
--- a/internal/engine/terms.go
+++ b/internal/engine/terms.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
-	"sync/atomic"
 
 	"pepperlead/internal/agreement"
 	"pepperlead/internal/clock"
@@ -37,6 +37,7 @@
 	leased  bool
 	last    []agreement.Number
 	unfit   agreement.Number // version whose table could not be taken
+	table   uint64           // digest of the table that was taken last
 	acts    uint64           // changes
 }
 
@@ -167,7 +168,7 @@
 		return v.Number < oldest(t.holder) || leased && !slices.Contains(t.holder.InForce(), v.Number)
 	})
 	e.list.agreed(r, said, t.of[oldest(t.holder)])
-	e.Adopt()
+	e.adopt()
 }
 
 // oldest is the version whose table is gone by: the one in force, and while a change is under way the one before it.
@@ -178,15 +179,35 @@
 	return n
 }
 
-// Adopt takes the agreed table, where there is one: a server whose time after its end is over may have moved the module's own.
-func (e *Engine) Adopt() {
-	if e.terms == nil || !e.terms.leased || !e.list.closed {
-		return
+// Table is the digest of the table as it stands. One that was agreed on is taken again where the module has left it: a server whose time
+// after its end is over may have moved slots.
+func (e *Engine) Table() uint64 {
+	table := e.Module.Table()
+	if e.terms != nil && table != e.terms.table && e.adopt() {
+		table = e.terms.table
+	}
+	return table
+}
+
+// adopt takes the agreed table, where there is one.
+func (e *Engine) adopt() bool {
+	t := e.terms
+	if !t.leased || !e.list.closed {
+		return false
+	}
+	v := t.of[oldest(t.holder)]
+	if v == nil || v.Table == nil {
+		return false
+	}
+	if e.Module.Adopt(v.Table) {
+		t.table = e.Module.Table()
+		return true
 	}
-	if v := e.terms.of[oldest(e.terms.holder)]; v != nil && v.Table != nil && !e.Module.Adopt(v.Table) && e.terms.unfit != v.Number {
-		e.terms.unfit = v.Number
+	if t.unfit != v.Number {
+		t.unfit = v.Number
 		e.Logger.WithField("version", v.Number).Error("rules: the agreed table names a server that is not in the list, and is left out")
 	}
+	return false
 }
 
 // said are the versions that say what does not bind: those in force, the newest first, then the others that are known.
