A damaged file of servers out by hand is set beside under its lock, and loses no ban in force

Checked: the first look, begun by Serve, and a call from outside found the same damaged file; Kin.Out renamed it without the lock, so the slower of the two failed, and what a third had put there meanwhile would have been renamed with it. Ruled out: the shelf (its steps are whole). Now whoever sets it beside holds the lock and has read again; a look only reads, and what is in force stays; the next change is made to what is in force, where the file was lost.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -208,8 +208,23 @@
 	k.root.Close()
 }
 
-// Out are the servers that are out by hand.
+// Out are the servers that are out by hand. What cannot be read is left beside, and none is out by it.
 func (k *Kin) Out() ([]string, error) {
+	uids, err := k.read()
+	if err == nil {
+		return uids, nil
+	}
+	// Only whoever holds the lock may set it beside: what another has just written in its place would go with it.
+	lock, err := k.lock()
+	if err != nil {
+		return nil, err
+	}
+	defer lock.Close()
+	return k.readOrLeave(nil)
+}
+
+// read gives what is kept.
+func (k *Kin) read() ([]string, error) {
 	if k.why != nil {
 		return nil, nil
 	}
@@ -217,12 +232,18 @@
 	if errors.Is(err, shelf.ErrNone) {
 		return nil, nil
 	}
-	if err != nil {
-		// Damaged, or of another version: put beside for whoever wants to look, so that it is not in the way of the next change.
-		k.log.WithError(err).Error("servers out by hand: what was kept cannot be read and is left beside, none is out by it")
-		return nil, os.Rename(filepath.Join(k.dir, kept), filepath.Join(k.dir, kept+".unread"))
+	return strings.Fields(string(body)), err
+}
+
+// readOrLeave is read by whoever holds the lock: damaged, or of another version, the file is put beside for whoever wants to
+// look, so that it is not in the way of the next change, and what is told counts in its place.
+func (k *Kin) readOrLeave(stand []string) ([]string, error) {
+	uids, err := k.read()
+	if err == nil {
+		return uids, nil
 	}
-	return strings.Fields(string(body)), nil
+	k.log.WithError(err).WithField("in_its_place", len(stand)).Error("servers out by hand: what was kept cannot be read and is left beside")
+	return stand, os.Rename(filepath.Join(k.dir, kept), filepath.Join(k.dir, kept+".unread"))
 }
 
 // Change takes a server out or back, for all processes: it is kept, then obeyed here, then by the others. An error says how far
@@ -267,24 +288,36 @@
 	return nil
 }
 
-// keep changes the file, with no other process at it.
-func (k *Kin) keep(uid string, out bool) error {
-	if k.why != nil {
-		return k.why
-	}
+// lock keeps other processes from the file, until it is closed.
+func (k *Kin) lock() (*os.File, error) {
 	lock, err := os.OpenFile(filepath.Join(k.dir, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer lock.Close()
 	for end := time.Now().Add(lockIn); ; time.Sleep(5 * time.Millisecond) {
 		if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
-			break
+			return lock, nil
 		} else if time.Now().After(end) {
-			return fmt.Errorf("another process holds the list of servers out by hand: %w", err)
+			lock.Close()
+			return nil, fmt.Errorf("another process holds the list of servers out by hand: %w", err)
 		}
 	}
-	uids, err := k.Out()
+}
+
+// keep changes the file, with no other process at it. A file that has come to harm loses no ban that is in force here.
+func (k *Kin) keep(uid string, out bool) error {
+	if k.why != nil {
+		return k.why
+	}
+	lock, err := k.lock()
+	if err != nil {
+		return err
+	}
+	defer lock.Close()
+	k.obeying.Lock()
+	stand := k.inForce
+	k.obeying.Unlock()
+	uids, err := k.readOrLeave(stand)
 	if err != nil {
 		return err
 	}
@@ -365,9 +398,9 @@
 func (k *Kin) look() error {
 	k.obeying.Lock()
 	defer k.obeying.Unlock()
-	uids, err := k.Out()
+	uids, err := k.read()
 	if err != nil {
-		k.log.WithError(err).Error("servers out by hand: what was kept cannot be read")
+		k.log.WithError(err).Error("servers out by hand: what was kept cannot be read, and what is in force stays")
 		uids = k.inForce
 	}
 	k.mu.Lock()
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -19,6 +19,7 @@
 	*Kin
 	mu    sync.Mutex
 	out   []string
+	looks int
 	parts int
 	deaf  bool
 }
@@ -37,12 +38,18 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.out = uids
+		p.looks++
 		return !p.deaf
 	}, func() []byte { return []byte(`{"of":"` + k.name + `"}`) }, func(n int) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.parts = n
 	})
+	within(t, "never looked", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.looks > 0
+	})
 	return p
 }
 
@@ -109,6 +116,53 @@
 	within(t, "not met", func() bool { return third.shares(2) && fresh.shares(2) && third.obeys("s-2", "s-3") })
 }
 
+// A file that has come to harm is found by several at once: it is set beside once, and nothing that is written in its place with it.
+func TestManyFindOneDamagedFile(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "x")
+	a, b := join(t, dir), join(t, dir)
+	if err := a.Change("s-1", true); err != nil {
+		t.Fatal(err)
+	}
+	for range 50 {
+		if err := os.WriteFile(filepath.Join(dir, kept), []byte("harmed"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var all sync.WaitGroup
+		for i := range 8 {
+			all.Go(func() {
+				if _, err := []*process{a, b}[i%2].Out(); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		all.Go(func() {
+			if err := a.Change("s-9", true); err != nil {
+				t.Error(err)
+			}
+		})
+		all.Wait()
+		if uids, err := b.Out(); err != nil || !slices.Contains(uids, "s-9") || !b.obeys(uids...) {
+			t.Fatal(uids, err, b.out)
+		}
+	}
+}
+
+// What is in force outlasts the file.
+func TestHarmLosesNoBan(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "x")
+	p := join(t, dir)
+	if err := p.Change("s-1", true); err != nil {
+		t.Fatal(err)
+	}
+	os.WriteFile(filepath.Join(dir, kept), []byte("harmed"), 0o600)
+	if err := p.Change("s-2", true); err != nil || !p.obeys("s-1", "s-2") {
+		t.Error(err, p.out)
+	}
+	if uids, err := join(t, dir).Out(); err != nil || !slices.Equal(uids, []string{"s-1", "s-2"}) {
+		t.Error(uids, err)
+	}
+}
+
 func TestBadFoldersAndFiles(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "x")
 	p := join(t, dir)
