Drills: a stand-in of discovery whose word can be cut off; a rig that is killed leaves nobody behind

Need: of what lies between processes the rig lacked the source of servers. standin.Catalog tells lists as the platform's page has it; a drill changes them ('list') and cuts them off (the place 'discovery'), calls to it leave from limits.from as those to servers do.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -179,7 +179,8 @@
 	case installation.Files:
 		s, descriptors = roster.NewFiles(in.Patterns, in.Terms, now), watchDescriptors
 	case installation.Discovery:
-		s = roster.NewPlatform(in.Discovery, false)
+		p := roster.NewPlatform(in.Discovery, false)
+		p.From, s = in.From, p
 	case installation.Fixed:
 		s = &roster.Fixed{Entries: in.Servers, Called: fmt.Sprintf("fixed: %+v", in.Servers)}
 	}
--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -25,6 +25,8 @@
 	sidecars []*Process
 	keepers  []*Process
 	servers  []*standin.Server
+	catalog  *standin.Catalog // nil: each sidecar has its servers in its file
+	doors    map[string]string
 	chance   *rand.Rand
 	front    int
 	inForce  int      // version
@@ -40,20 +42,29 @@
 	ran   []judge.Ran
 	asked []judge.Asked
 	down  []judge.Down
-	since map[*Process]int64 // that stand still or are not there
+	// What discovery has told, and from when to when which sidecars may not have heard it.
+	listed  []judge.Listed
+	deaf    []judge.Down
+	unheard map[*Process]int64
+	since   map[*Process]int64 // that stand still or are not there
 }
 
 const (
-	cutOff   = 2 * time.Second // of the drills' offering
-	quoted   = 500 * time.Millisecond
-	work     = 20 * time.Millisecond
+	cutOff = 2 * time.Second // of the drills' offering
+	quoted = 500 * time.Millisecond
+	work   = 20 * time.Millisecond
+
+	discovery = links.Place("discovery")
+	// How long after the way to discovery is open again a sidecar may not have heard it: a call is given up after 2 s, the next one is made
+	// within 2 s, and what was held in the link comes at once (internal/roster). A watch waits longer than drills cut it off.
+	hearsIn  = 5 * time.Second
 	answerIn = cutOff + 3*time.Second
 )
 
 // BeginCluster starts all processes at once. The caller ends them by Close, also after an error.
 func BeginCluster(program, dir string, script *Script, seed uint64) (*Cluster, error) {
 	c := &Cluster{Stage: &Stage{Links: links.New(seed), dir: dir, program: program, asks: http.Client{Timeout: 2 * time.Second}}, script: script,
-		chance: rand.New(rand.NewPCG(seed, 1)), quiet: make(chan struct{}), over: make(chan struct{}), since: map[*Process]int64{}}
+		chance: rand.New(rand.NewPCG(seed, 1)), quiet: make(chan struct{}), over: make(chan struct{}), since: map[*Process]int64{}, unheard: map[*Process]int64{}}
 	c.client = http.Client{Timeout: answerIn, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Second}}
 	key := base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf("%016x", seed)))
 	if err := os.WriteFile(filepath.Join(dir, "key"), []byte(key), 0o600); err != nil {
@@ -68,6 +79,12 @@
 	if err != nil {
 		return c, err
 	}
+	list := "[source]\nkind = \"fixed\"\n" + strings.ReplaceAll(source(nil), "[[server]]", "[[source.server]]")
+	if script.Discovery {
+		if list, err = c.discovered(); err != nil {
+			return c, err
+		}
+	}
 	logs, err := freePort(own(most))
 	if err != nil {
 		return c, err
@@ -98,8 +115,8 @@
 		} else {
 			c.sidecars = append(c.sidecars, one)
 			text += fmt.Sprintf("instances = %d\nseed = \"%x\"\n[front.http]\nlisten = \"%s:%d\"\n[pages]\nlisten = %q\n", script.Sidecars,
-				seed*1000+uint64(i), own(at), front, one.pages) + offering(script.Versions[0]) + fmt.Sprintf("[limits]\nfrom = %q\n[source]\nkind = \"fixed\"\n", own(at)) +
-				strings.ReplaceAll(source(nil), "[[server]]", "[[source.server]]") + "[log]\nlevel = \"debug\"\nformat = \"json\"\n"
+				seed*1000+uint64(i), own(at), front, one.pages) + offering(script.Versions[0]) + fmt.Sprintf("[limits]\nfrom = %q\n", own(at)) +
+				list + "[log]\nlevel = \"debug\"\nformat = \"json\"\n"
 		}
 		text += fmt.Sprintf("[peers]\nlisten = %q\nadvertise = %q\ncluster = \"drill\"\nkey_file = \"key\"\njoin = [%s]\n", listen, door,
 			strings.TrimSuffix(join.String(), ", "))
@@ -141,7 +158,7 @@
 
 // serve starts the servers, which write down what they do. source lists some of them, nil: all.
 func (c *Cluster) serve(seed uint64) (source func(names []string) string, err error) {
-	lines := map[string]string{}
+	c.doors = map[string]string{}
 	var all []string
 	for i := range c.script.Servers {
 		name := fmt.Sprint("s", i+1)
@@ -159,7 +176,7 @@
 		if err != nil {
 			return nil, err
 		}
-		lines[name] = fmt.Sprintf("[[server]]\nid = %q\naddress = %q\n", name, door)
+		c.doors[name] = door
 		all = append(all, name)
 	}
 	return func(names []string) (text string) {
@@ -167,12 +184,40 @@
 			names = all
 		}
 		for _, name := range names {
-			text += lines[name]
+			text += fmt.Sprintf("[[server]]\nid = %q\naddress = %q\n", name, c.doors[name])
 		}
 		return text
 	}, nil
 }
 
+// discovered starts the stand-in of discovery, which knows of all servers, and says where sidecars reach it.
+func (c *Cluster) discovered() (source string, err error) {
+	if c.catalog, err = standin.StartCatalog("127.8.0.1:0"); err != nil {
+		return "", err
+	}
+	var all []string
+	for i := range c.servers {
+		all = append(all, fmt.Sprint("s", i+1))
+	}
+	c.list(all, nil)
+	door, err := c.Links.TCP("127.9.1.1:0", discovery, c.catalog.Addr())
+	return fmt.Sprintf("[source]\nkind = \"discovery\"\naddress = %q\n", door), err
+}
+
+// list has discovery tell of these servers and no others.
+func (c *Cluster) list(ready, leaving []string) {
+	var all []standin.Target
+	for i, names := range [][]string{ready, leaving} {
+		for _, name := range names {
+			all = append(all, standin.Target{UID: name, Endpoint: c.doors[name], Zone: "a", State: []string{"Ready", "Terminating"}[i], Weight: 1})
+		}
+	}
+	c.catalog.Tell(all)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = append(c.listed, judge.Listed{At: int64(clock.True()), Ready: ready})
+}
+
 // ask has clients ask each sidecar until the drill is over.
 func (c *Cluster) ask() {
 	if c.script.Rate == 0 {
@@ -237,4 +282,7 @@
 	for _, s := range c.servers {
 		s.Close()
 	}
+	if c.catalog != nil {
+		c.catalog.Close()
+	}
 }
--- a/internal/drill/judge/judge.go
+++ b/internal/drill/judge/judge.go
@@ -52,6 +52,15 @@
 	From, To int64
 }
 
+// Listed is a list that discovery told: servers that are not ready on it get nothing new after the grace.
+type Listed struct {
+	At    int64
+	Ready []string
+}
+
+// Grace is how long after a list a push may still go by the one before: a second, and what it takes to come.
+const Grace = 1500 * time.Millisecond
+
 // History is all that is known of a drill.
 type History struct {
 	Versions map[int]Version
@@ -60,6 +69,8 @@
 	Ran      []Ran
 	Asked    []Asked
 	Down     []Down
+	Listed   []Listed // in their order
+	Deaf     []Down   // times in which a process may not have heard what discovery told
 	CutOff   time.Duration
 	Slack    time.Duration // by which machine and links may make a client's answer late
 }
@@ -97,6 +108,7 @@
 	v.contradictions(h)
 	v.pushes(h)
 	v.effects(h)
+	v.delisted(h)
 	v.answers(h)
 	return v
 }
@@ -167,6 +179,31 @@
 	}
 }
 
+// delisted looks for pushes to servers that no list since the one in force a grace ago has as ready, by those that have heard them.
+func (v *Verdict) delisted(h *History) {
+	for _, s := range h.Steps {
+		named := slices.ContainsFunc(s.Of, func(n int) bool { return h.Versions[n].Servers != nil })
+		if s.Server == "" || named {
+			continue
+		}
+		ready, since := len(h.Listed) == 0, int64(0)
+		for i, l := range h.Listed {
+			inForce := i+1 == len(h.Listed) || h.Listed[i+1].At > s.At-int64(Grace)
+			if l.At > s.At || !inForce {
+				continue
+			}
+			if since == 0 {
+				since = l.At
+			}
+			ready = ready || l.At > s.At-int64(Grace) && i == 0 || slices.Contains(l.Ready, s.Server)
+		}
+		unheard := func(d Down) bool { return d.Process == s.Process && d.From <= since+int64(Grace) && s.At <= d.To }
+		if !ready && !slices.ContainsFunc(h.Deaf, unheard) && !slices.ContainsFunc(h.Down, unheard) {
+			v.fault("%s pushed %s to %s, which has not been ready on any list for %v", s.Process, s.ID, s.Server, time.Duration(s.At-since))
+		}
+	}
+}
+
 // effects looks at what ran twice.
 func (v *Verdict) effects(h *History) {
 	runs, steps := map[string][]Ran{}, map[string][]Step{}
--- a/internal/drill/judge/judge_test.go
+++ b/internal/drill/judge/judge_test.go
@@ -19,6 +19,7 @@
 func TestPlantedFaultsAreFound(t *testing.T) {
 	versions := map[int]Version{0: {Repeats: "at-most-once"}, 1: {Repeats: "reissuable"}, 2: {Repeats: "numbered", Window: second},
 		3: {Repeats: "at-most-once", Servers: []string{"a"}, Bans: []string{"c"}}}
+	delisted := []Listed{{1, []string{"a", "b"}}, {int64(2 * second), []string{"a"}}}
 	twice := []Ran{{"x", "a", int64(2 * second)}, {"x", "b", int64(3 * second)}}
 	for what, one := range map[string]struct {
 		h       History
@@ -44,10 +45,17 @@
 			push("x", "a", 0, acts("p", second, true, 2)), push("x", "b", 1, acts("p", 4*second, true, 2))}}},
 		"again without a lease": {broken: 1, h: History{Ran: twice[:1], Steps: []Step{push("x", "a", 0, acts("p", second, true, 1)),
 			push("x", "b", 1, acts("p", 2500*time.Millisecond, false, 1))}}},
-		"ran, and nobody sent it":    {broken: 1, h: History{Ran: twice, Steps: []Step{push("x", "a", 0, acts("p", second, true, 1))}}},
-		"a server that is not named": {broken: 1, h: History{Steps: []Step{push("x", "b", 0, acts("p", second, true, 3))}}},
-		"a server that is banned":    {broken: 1, h: History{Steps: []Step{push("x", "c", 0, acts("p", second, true, 3))}}},
-		"no answer":                  {broken: 1, h: History{Asked: []Asked{{ID: "x", Process: "p", At: 1, Ended: int64(second)}}}},
+		"ran, and nobody sent it":               {broken: 1, h: History{Ran: twice, Steps: []Step{push("x", "a", 0, acts("p", second, true, 1))}}},
+		"a server that is not named":            {broken: 1, h: History{Steps: []Step{push("x", "b", 0, acts("p", second, true, 3))}}},
+		"a server that is banned":               {broken: 1, h: History{Steps: []Step{push("x", "c", 0, acts("p", second, true, 3))}}},
+		"a server that discovery has taken off": {broken: 1, h: History{Listed: delisted, Steps: []Step{push("x", "b", 0, acts("p", 4*second, true, 1))}}},
+		"the same within the grace":             {h: History{Listed: delisted, Steps: []Step{push("x", "b", 0, acts("p", 3*second, true, 1))}}},
+		"the same by one that was cut off": {h: History{Listed: delisted, Deaf: []Down{{"p", int64(second), int64(5 * second)}},
+			Steps: []Step{push("x", "b", 0, acts("p", 4*second, true, 1))}}},
+		"the same by one that had heard, and was cut off then": {broken: 1, h: History{Listed: delisted, Deaf: []Down{{"p", int64(4 * second), int64(9 * second)}},
+			Steps: []Step{push("x", "b", 0, acts("p", 5*second, true, 1))}}},
+		"on a list again": {h: History{Listed: append(delisted[:2:2], Listed{int64(3500 * time.Millisecond), []string{"b"}}), Steps: []Step{push("x", "b", 0, acts("p", 4*second, true, 1))}}},
+		"no answer":       {broken: 1, h: History{Asked: []Asked{{ID: "x", Process: "p", At: 1, Ended: int64(second)}}}},
 		"no answer of one that died": {h: History{Asked: []Asked{{ID: "x", Process: "p", At: 1, Ended: int64(second)}},
 			Down: []Down{{"p", 5, 6}}}},
 		"an answer after the cut-off": {broken: 1, h: History{CutOff: second, Slack: second / 10,
--- a/internal/drill/play.go
+++ b/internal/drill/play.go
@@ -101,6 +101,7 @@
 		}
 		r.Marks = append(r.Marks, Mark{int64(clock.True()), d.What + " " + strings.Join(append(append(d.Who, d.From...), d.Version), " ")})
 		c.do(ctx, d, half, r, &changes, begin)
+		c.hearing()
 	}
 	select {
 	case <-ctx.Done():
@@ -111,6 +112,7 @@
 	changes.Wait()
 	healed := time.Now()
 	c.Links.Heal()
+	c.hearing()
 	r.Failed = append(r.Failed, c.ended()...)
 	for _, p := range c.Processes {
 		c.resume(p)
@@ -144,7 +146,7 @@
 	for _, p := range c.Processes {
 		c.out(p, true)
 	}
-	h.Ran, h.Asked, h.Down = c.ran, c.asked, c.down
+	h.Ran, h.Asked, h.Down, h.Listed, h.Deaf = c.ran, c.asked, c.down, c.listed, c.deaf
 	r.History, r.Verdict = h, judge.Judge(h)
 	r.OwnDelay, r.Late = c.Links.Own(99).Seconds(), late().Seconds()
 	lease, _ := time.ParseDuration(s.Lease)
@@ -350,6 +352,9 @@
 			all = append(all, links.Place(name))
 		}
 	}
+	if slices.Contains(names, string(discovery)) {
+		all = append(all, discovery)
+	}
 	return all
 }
 
@@ -385,6 +390,8 @@
 				}
 			}
 		}
+	case "list":
+		c.list(d.Servers, d.Leaving)
 	case "heal":
 		c.Links.Heal()
 	case "stall":
@@ -420,6 +427,23 @@
 	}
 }
 
+// hearing notes which sidecars are cut off from discovery, or were until now.
+func (c *Cluster) hearing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.sidecars {
+		open := c.Links.Open(links.Way{From: p.Name, To: discovery}) && c.Links.Open(links.Way{From: discovery, To: p.Name})
+		from, deaf := c.unheard[p]
+		switch now := int64(clock.True()); {
+		case open && deaf:
+			c.deaf = append(c.deaf, judge.Down{Process: string(p.Name), From: from, To: now + int64(hearsIn)})
+			delete(c.unheard, p)
+		case !open && !deaf:
+			c.unheard[p] = now
+		}
+	}
+}
+
 // change runs the program's own command.
 func (c *Cluster) change(ctx context.Context, d Doing, at *Process, r *Result, begin time.Time) {
 	args := []string{"apply", filepath.Join(c.dir, d.Version+".version"), "--wait", "30s"}
--- a/internal/drill/script.go
+++ b/internal/drill/script.go
@@ -22,6 +22,7 @@
 	Jitter      time.Duration
 	Lease       string
 	AgreeWithin time.Duration
+	Discovery   bool // servers come from a stand-in of the platform's discovery, all of them at first
 	Contradicts bool // the judge must find one: a drill of the judge
 	Versions    []Version
 	Clocks      map[string]string // by process: GW_CLOCK
@@ -54,11 +55,13 @@
 	Delay   time.Duration
 	Spread  time.Duration
 	MayFail bool
+	Servers []string // of a list: ready
+	Leaving []string // of a list: draining
 }
 
 // verbs are what can be done, and what each needs.
 var verbs = map[string][]string{"apply": {"version"}, "rollback": {"number"}, "withdraw": {"number"}, "part": {"from", "to"}, "cut": {"from", "to"},
-	"weather": nil, "heal": nil, "stall": {"who"}, "go": {"who"}, "kill": {"who"}, "start": {"who"}, "throttle": {"who"}, "fill-disk": {"who"}, "damage": {"who"}}
+	"list": {"servers"}, "weather": nil, "heal": nil, "stall": {"who"}, "go": {"who"}, "kill": {"who"}, "start": {"who"}, "throttle": {"who"}, "fill-disk": {"who"}, "damage": {"who"}}
 
 const mostScript = 1 << 18
 
@@ -85,7 +88,7 @@
 	s.Rate, s.Resets = t.Real("rate", 10, 0, 1000), t.Real("resets", 0.1, 0, 1)
 	s.Jitter, s.Lease = span(t, "jitter", 300*time.Millisecond), t.Text("lease", "1.5s")
 	s.AgreeWithin = span(t, "agree_within", 500*time.Millisecond)
-	s.Contradicts = t.Yes("contradicts", false)
+	s.Contradicts, s.Discovery = t.Yes("contradicts", false), t.Yes("discovery", false)
 	t.Done()
 	s.Versions = append(s.Versions, Version{Name: "own", Repeats: "at-most-once"})
 	names := []string{"own"}
@@ -110,6 +113,11 @@
 	for _, t := range root.Tables("do") {
 		s.Doings = append(s.Doings, doing(t, names))
 	}
+	for _, d := range s.Doings {
+		if d.What == "list" && !s.Discovery {
+			root.Fault("do", "a list", "none where [drill] does not say discovery = true")
+		}
+	}
 	root.Done()
 }
 
@@ -122,7 +130,7 @@
 	t.Require("what")
 	d := Doing{At: -1, What: all[t.OneOf("what", 0, all...)], Who: t.Texts("who"), From: t.Texts("from"), To: t.Texts("to"), Version: t.Text("version", ""),
 		Of: int(t.Count("number", 0, 1, 1000)), Drop: t.Real("drop", 0, 0, 1), Twice: t.Real("twice", 0, 0, 1), Delay: span(t, "delay", 0),
-		Spread: span(t, "spread", 0), MayFail: t.Yes("may_fail", false), After: span(t, "after", 0)}
+		Spread: span(t, "spread", 0), MayFail: t.Yes("may_fail", false), After: span(t, "after", 0), Servers: t.Texts("servers"), Leaving: t.Texts("leaving")}
 	t.Require(verbs[d.What]...)
 	if d.Version != "" && !slices.Contains(versions, d.Version) {
 		t.Fault("version", t.Found("version"), "one of "+strings.Join(versions, ", "))
--- a/internal/drill/stage.go
+++ b/internal/drill/stage.go
@@ -170,6 +170,7 @@
 	defer log.Close()
 	proc := exec.Command(p.stage.program, p.verb, "--config", p.config())
 	proc.Stderr = log
+	proc.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a rig that is itself killed leaves nobody behind
 	if p.clock != "" {
 		proc.Env = append(os.Environ(), "GW_CLOCK="+p.clock)
 	}
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -39,7 +39,7 @@
 	Descriptors int
 	MemoryMB    int
 	ConnectIn   policy.Time
-	From        net.IP // connections to servers leave from there; nil: from whichever address the kernel picks
+	From        net.IP // connections to servers and discovery leave from there; nil: from whichever address the kernel picks
 	IdleFor     policy.Time
 	Leave       policy.Time // after the first sign of the end, for tickets in hand
 	Campaign    *policy.Campaign
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -104,6 +104,13 @@
 	n.changed()
 }
 
+// Open tells whether a way is not cut.
+func (n *Net) Open(w Way) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.ways[w].Cut
+}
+
 // Counted tells what was tried one way: a cut that nobody tried to pass shows nothing.
 func (n *Net) Counted(w Way) Count {
 	n.mu.Lock()
--- a/internal/roster/platform.go
+++ b/internal/roster/platform.go
@@ -25,6 +25,7 @@
 // Platform follows the platform's discovery: the whole list, then one watch after another.
 type Platform struct {
 	gate
+	From net.IP // calls leave from there; nil: from whichever address the kernel picks
 	addr string
 	once bool // after a failed call none is made until Follow says so
 }
@@ -39,7 +40,11 @@
 
 // Run asks while Follow is on.
 func (p *Platform) Run(ctx context.Context, say func(News)) {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: answerIn, KeepAlive: -1}).DialContext,
+	dialer := &net.Dialer{Timeout: answerIn, KeepAlive: -1}
+	if p.From != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: p.From}
+	}
+	transport := &http.Transport{DialContext: dialer.DialContext,
 		MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHead}
 	defer transport.CloseIdleConnections()
 	version, pause := int64(-1), tryAgain
