--- a/cmd/pepperlab/rehearse.go
+++ b/cmd/pepperlab/rehearse.go
@@ -15,6 +15,7 @@
 
 	"pepperlead/internal/emulator"
 	"pepperlead/internal/emulator/baseline"
+	"pepperlead/internal/emulator/judge"
 	"pepperlead/internal/experiment"
 )
 
@@ -55,6 +56,7 @@
 		fmt.Fprintf(c.OutOrStdout(), "%s, seed %d, %s: service %.3f, worst 10 s %.3f, wasted %.3f, crossings %.3f\n"+
 			"%d requests, %d tickets, %d pushes: %d honoured (%d late), %d turned back, %d given up\n", r.Scenario, r.Seed, r.Policy,
 			v.Service, v.Worst10, r.Wasted, v.Crossed, v.Requests, v.Tickets, v.Pushes, v.Honoured, v.Late, v.TurnedBack, v.GivenUp)
+		printEven(c.OutOrStdout(), &v.Even)
 		for _, b := range v.Breaks {
 			fmt.Fprintln(c.OutOrStdout(), b)
 		}
@@ -71,7 +73,8 @@
 func sweepCommand() *cobra.Command {
 	c := &cobra.Command{Use: "sweep SCENARIO...", Args: cobra.MinimumNArgs(1), Short: "Play many days: seeds, values of a figure, policies",
 		Example: "  pepperlab sweep scenarios/*.toml --seeds 20 --policies module,two,seeing --out /tmp/all\n" +
-			"  pepperlab sweep scenarios/burst.toml --vary load.part=0.5:1.5:0.1 --seeds 5 --out /tmp/load"}
+			"  pepperlab sweep scenarios/burst.toml --vary load.part=0.5:1.5:0.1 --seeds 5 --out /tmp/load\n" +
+			"  pepperlab sweep scenarios/slow.toml --vary scale=4x8,300x100 --seeds 5     # sidecars x servers, load and keys in proportion"}
 	seeds := c.Flags().Uint64("seeds", 5, "how many seeds, from --first on")
 	first := c.Flags().Uint64("first", 1, "the first seed")
 	vary := c.Flags().String("vary", "", "a figure and its `values`, as load.part=0.5,0.8 or load.part=0.5:1.5:0.1")
@@ -133,14 +136,20 @@
 
 func printTable(out io.Writer, rows []experiment.Row) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "scenario\tset\tpolicy\tdays\tservice\t±\tworst 10 s\twasted\tcrossed\tdays that broke rules 1 2 3 4")
+	fmt.Fprintln(w, "scenario\tset\tpolicy\tdays\tservice\t±\tworst 10 s\twasted\tcrossed\tscatter 1 s, 5 s\tforced\tbusiest\tmost\tidle s\therd\tdays that broke rules 1 2 3 4")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%v\n", r.Scenario, r.Set, r.Policy, r.Days, r.Service, r.Half,
-			r.Worst10, r.Wasted, r.Crossed, r.Broken)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f, %.2f\t%.2f, %.2f\t%.2f\t%.1f\t%.1f\t%.1f\t%v\n", r.Scenario, r.Set, r.Policy, r.Days,
+			r.Service, r.Half, r.Worst10, r.Wasted, r.Crossed, r.Scatter[0], r.Scatter[1], r.Forced[0], r.Forced[1], r.Busiest, r.Worst, r.Idle, r.Herd, r.Broken)
 	}
 	w.Flush()
 }
 
+func printEven(out io.Writer, e *judge.Even) {
+	fmt.Fprintf(out, "pushes scatter over servers %.2f times as chance in 1 s, %.2f in 5 s (keys alone would force %.2f, %.2f); busiest server %.2f times its share in "+
+		"5 s, %.1f at the most;\n%.1f server seconds idle while others queued; herd of %.1f in 50 ms\n", e.Scatter[0], e.Scatter[1], e.Forced[0], e.Forced[1],
+		e.Busiest, e.Worst, e.Idle, e.Herd)
+}
+
 func compareCommand() *cobra.Command {
 	c := &cobra.Command{Use: "compare A B", Args: cobra.ExactArgs(2), Short: "Compare two sweeps, or two days, paired by seed",
 		Long: `Compare what run or sweep wrote into two folders, paired by scenario, figure and seed, with the 95% interval of the gain.
--- a/cmd/pepperlab/sockets.go
+++ b/cmd/pepperlab/sockets.go
@@ -17,7 +17,7 @@
 func socketsCommand() *cobra.Command {
 	c := &cobra.Command{Use: "sockets SCENARIO", Args: cobra.ExactArgs(1), Short: "Play a scenario on sockets in real time, with real daemons",
 		Long: `Play a scenario on sockets in real time: daemons as processes of their own, stand-in servers whose inside is the emulator's
-model, clients that ask for what the emulator's would, and the same judge. At a small size only.`,
+model, clients that ask for what the emulator's would, and the same judge. 320 daemons and 5,000 requests a second at most.`,
 		Example: "  pepperlab sockets scenarios/monday.toml --seed 1 --record /tmp/monday"}
 	seed := c.Flags().Uint64("seed", 1, "names the day")
 	daemon := c.Flags().String("daemon", "bin/pepperlead", "the daemon's `program`")
@@ -51,6 +51,7 @@
 		fmt.Fprintf(c.OutOrStdout(), "%s, seed %d, on sockets: service %.3f, worst 10 s %.3f, crossings %.3f\n"+
 			"%d requests, %d tickets, %d pushes: %d honoured (%d late), %d turned back, %d given up\n", sc.Name, *seed, v.Service, v.Worst10,
 			v.Crossed, v.Requests, v.Tickets, v.Pushes, v.Honoured, v.Late, v.TurnedBack, v.GivenUp)
+		printEven(c.OutOrStdout(), &v.Even)
 		for _, b := range v.Breaks {
 			fmt.Fprintln(c.OutOrStdout(), b)
 		}
--- a/internal/emulator/judge/judge.go
+++ b/internal/emulator/judge/judge.go
@@ -77,6 +77,7 @@
 	cutOff   policy.Time
 	pushes   []push
 	out      int
+	key      uint64
 }
 
 type request struct {
@@ -121,6 +122,7 @@
 	pushes    int
 	crossed   int
 	requested int
+	even      even
 }
 
 type second struct{ asked, got float64 }
@@ -301,6 +303,9 @@
 	k := &j.tickets[t]
 	n := len(k.pushes)
 	j.pushes++
+	if at < j.facts.Length {
+		j.even.push(at, to, k.key, k.no)
+	}
 	if crosses {
 		j.crossed++
 	}
@@ -414,6 +419,7 @@
 	GivenUp    int     `json:"given_up"`
 	Late       int     `json:"late"`
 	Crossed    float64 `json:"crossed"` // part of the pushes that went to another zone
+	Even       Even    `json:"even"`
 	Seconds    []Share `json:"seconds"`
 }
 
@@ -431,6 +437,7 @@
 		Pushes: j.pushes, Honoured: j.answers[Honoured], TurnedBack: j.answers[TurnedBack], GivenUp: j.answers[GivenUp], Late: j.late}
 	slices.SortStableFunc(v.Breaks, func(a, b Break) int { return cmp.Compare(a.At, b.At) })
 	copy(v.Broken[:], j.broken[1:])
+	v.Even = j.even.finish()
 	if j.pushes > 0 {
 		v.Crossed = float64(j.crossed) / float64(j.pushes)
 	}
--- a/internal/emulator/judge/judge_test.go
+++ b/internal/emulator/judge/judge_test.go
@@ -1,6 +1,7 @@
 package judge
 
 import (
+	"math"
 	"strings"
 	"testing"
 
@@ -222,3 +223,39 @@
 		t.Errorf("%+v", v)
 	}
 }
+
+// Pushes that lie as told have the scatter, the busiest server, the idle time and the herd that follow from it.
+func TestEvenness(t *testing.T) {
+	one := func(do func(j *Judge, push func(at policy.Time, to Server, key uint64))) Even {
+		j := newJudge()
+		for s, size := range []float64{1, 1, 2} {
+			j.Sized(0, Server(s), size)
+		}
+		do(j, func(at policy.Time, to Server, key uint64) {
+			h := accept(j, 0)
+			j.About(h.t, key)
+			j.Pushed(at, h.t, to, "a", 0, false)
+		})
+		j.Sized(59*sec, 0, 0) // what comes with a change does not count
+		return j.Finish(60 * sec).Even
+	}
+	// By size, each second: nothing beyond a share.
+	if e := one(func(j *Judge, push func(policy.Time, Server, uint64)) {
+		for at := policy.Time(0); at < 58*sec; at += sec / 4 {
+			push(at, []Server{0, 1, 2, 2}[at/(sec/4)%4], 0)
+		}
+	}); e.Scatter != [2]float64{} || e.Forced != [2]float64{1, 1} || e.Busiest != 1 || e.Worst != 1 || e.Idle != 0 || e.Herd != 0.75 {
+		t.Errorf("%+v", e)
+	}
+	// All to one of size 1, about one key: 20 in 5 s where 5 is its share, 4 in a second, 2 within 50 ms.
+	if e := one(func(j *Judge, push func(policy.Time, Server, uint64)) {
+		for at := policy.Time(0); at < 50*sec; at += sec / 2 {
+			push(at, 0, 7)
+			push(at, 0, 7)
+		}
+		j.Looked(2, true, sec)
+		j.Looked(2, false, sec)
+	}); math.Abs(e.Scatter[1]-math.Sqrt(15*15/5./2+5/2.+10/2.)) > 1e-9 || e.Forced != [2]float64{2, math.Sqrt(20)} || e.Busiest != 4 || e.Idle != 2 || e.Herd != 1.5 {
+		t.Errorf("%+v", e)
+	}
+}
--- a/internal/emulator/machine/machine.go
+++ b/internal/emulator/machine/machine.go
@@ -110,6 +110,9 @@
 // In is how many jobs are in it.
 func (m *Machine) In() int { return m.waits + len(m.working.ids) + len(m.doing.ids) }
 
+// Queued is how many jobs want a core, or a slot, beyond those that have one.
+func (m *Machine) Queued() int { return m.waits + max(0, len(m.working.ids)-int(math.Ceil(m.Cores))) }
+
 // Busy is the work that it could do at once, in cores: those of its jobs that want a core, at most its own.
 func (m *Machine) Busy() float64 { return min(float64(len(m.working.ids)), m.Cores) }
 
--- a/internal/emulator/sidecar.go
+++ b/internal/emulator/sidecar.go
@@ -323,6 +323,7 @@
 	t := &w.tries[i]
 	t.of = w.judge.Accepted(w.day(w.now), q.of, s.no, q.offering, w.day(q.cutOff))
 	w.queue.add(event{at: q.cutOff, rank: rankCutOff, do: (*World).cutOff, a: i})
+	w.judge.About(t.of, q.key)
 	key := ""
 	if q.key != 0 {
 		key = keyText(q.key)
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -196,6 +196,7 @@
 	}
 	w.scriptFaults()
 	w.queue.add(event{at: start + policy.Second, rank: rankWorld, do: (*World).look})
+	w.glance(nil)
 	if len(sc.Arrivals) > 0 {
 		w.queue.add(event{at: start + sc.Arrivals[0].At, rank: rankArrive, do: (*World).recorded})
 	} else {
@@ -350,6 +351,30 @@
 	}
 }
 
+// glances is how often the judge is told how the servers stand.
+const glances = policy.Second / 4
+
+// glance tells the judge which servers are there for new work, and who stands idle while others queue.
+func (w *World) glance(*event) {
+	idle, queues := 0, false
+	for _, v := range w.servers {
+		size := v.traits.Cores * v.traits.Speed
+		if v.standing != policy.Ready || v.down || v.dark() {
+			size = 0
+		}
+		w.judge.Sized(w.day(w.now), v.no, size)
+		if in := v.machine.In(); size > 0 && in == 0 {
+			idle++
+		} else if v.machine.Queued() > 0 {
+			queues = true
+		}
+	}
+	w.judge.Looked(idle, queues, glances)
+	if w.now < start+w.sc.Length {
+		w.queue.add(event{at: w.now + glances, rank: rankWorld, do: (*World).glance})
+	}
+}
+
 // gauge adds what the sidecars go by, where they are of a kind that says.
 func (w *World) gauge(s *Sample) {
 	n := 0.0
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -5,8 +5,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -62,12 +64,32 @@
 	ToS      float64     `json:"to_s"`
 }
 
+// Scale is the figure of a set that changes a fleet's size, as 300x100: so many sidecars before so many servers, with load and keys
+// in proportion to the servers.
+const Scale = "scale"
+
 // Load reads a scenario with its base, which stands beside it.
 func Load(path string, sets ...emulator.Set) (*emulator.Scenario, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
+	if i := slices.IndexFunc(sets, func(s emulator.Set) bool { return s.Path == Scale }); i >= 0 {
+		sc, err := Load(path, slices.Delete(slices.Clone(sets), i, i+1)...)
+		if err != nil {
+			return nil, err
+		}
+		var sidecars, servers int
+		if n, err := fmt.Sscanf(fmt.Sprint(sets[i].Value), "%dx%d", &sidecars, &servers); n != 2 || err != nil || sidecars < 1 || servers < 1 {
+			return nil, fmt.Errorf("scale: found %v, allowed sidecars x servers, as 300x100", sets[i].Value)
+		}
+		by := float64(servers) / float64(sc.Servers)
+		sets = append(slices.Clone(sets[:i]), append([]emulator.Set{{Path: "fleet.sidecars", Value: int64(sidecars)}, {Path: "fleet.servers", Value: int64(servers)},
+			{Path: "load.keys", Value: int64(math.Round(float64(sc.Load.Keys) * by))}}, sets[i+1:]...)...)
+		if sc.Load.Rate > 0 {
+			sets = append(sets, emulator.Set{Path: "load.rate", Value: sc.Load.Rate * by})
+		}
+	}
 	return emulator.Read(path, text, func(name string) ([]byte, error) {
 		return os.ReadFile(filepath.Join(filepath.Dir(path), filepath.Base(name)))
 	}, sets...)
--- a/internal/experiment/sweep.go
+++ b/internal/experiment/sweep.go
@@ -20,13 +20,14 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"pepperlead/internal/emulator"
+	"pepperlead/internal/emulator/judge"
 )
 
 // Grid is a set of days: every scenario, seed, figure and policy.
 type Grid struct {
 	Scenarios []string // paths
 	Seeds     []uint64
-	Vary      string   // path of a figure; "": none
+	Vary      string   // path of a figure, or scale; "": none
 	Values    []string // of it
 	Policies  []string
 	Workers   int       // 0: as many as there are cores
@@ -181,7 +182,8 @@
 	Worst10  float64 `json:"worst_10s"`
 	Wasted   float64 `json:"wasted"`
 	Crossed  float64 `json:"crossed"`
-	Broken   [4]int  `json:"broken"` // days on which the rule was broken
+	judge.Even
+	Broken [4]int `json:"broken"` // days on which the rule was broken
 }
 
 // Table sums a sweep up.
@@ -204,6 +206,7 @@
 		row.Worst10 += r.Verdict.Worst10
 		row.Wasted += r.Wasted
 		row.Crossed += r.Verdict.Crossed
+		row.add(&r.Verdict.Even)
 		for rule, n := range r.Verdict.Broken {
 			if n > 0 {
 				row.Broken[rule]++
@@ -215,10 +218,24 @@
 		row.Service, row.Half = Interval(service[key{row.Scenario, row.Set, row.Policy}])
 		n := float64(row.Days)
 		row.Worst10, row.Wasted, row.Crossed = row.Worst10/n, row.Wasted/n, row.Crossed/n
+		for i := range row.Scatter {
+			row.Scatter[i], row.Forced[i] = row.Scatter[i]/n, row.Forced[i]/n
+		}
+		row.Busiest, row.Idle = row.Busiest/n, row.Idle/n
 	}
 	return rows
 }
 
+// add takes a day's figures in: sums of those that are means, the most of the others.
+func (r *Row) add(e *judge.Even) {
+	for i := range e.Scatter {
+		r.Scatter[i] += e.Scatter[i]
+		r.Forced[i] += e.Forced[i]
+	}
+	r.Busiest, r.Idle = r.Busiest+e.Busiest, r.Idle+e.Idle
+	r.Worst, r.Herd = max(r.Worst, e.Worst), max(r.Herd, e.Herd)
+}
+
 // Interval is the mean of some figures and half the width of its 95% interval, by Student's distribution.
 func Interval(all []float64) (mean, half float64) {
 	n := float64(len(all))
--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -40,9 +40,9 @@
 
 const (
 	// mostServers and mostRate keep a rehearsal to what one machine can play beside the daemons.
-	mostServers  = 64
-	mostSidecars = 16
-	mostRate     = 1500
+	mostServers  = 128
+	mostSidecars = 320
+	mostRate     = 5000
 	// slack is how late a stand-in may hear of what a sidecar did: its handler starts, or learns of a close, that much later.
 	slack = 100 * policy.Millisecond
 	lead  = 500 * policy.Millisecond // before the first request
@@ -133,6 +133,9 @@
 	}
 	s.start = s.clock.Now() + lead
 	faults := s.script()
+	ctx, over := context.WithCancel(ctx)
+	defer over()
+	s.busy.Go(func() { s.glance(ctx, sc.Length) })
 	defer func() {
 		for _, t := range faults {
 			t.Stop()
@@ -153,6 +156,30 @@
 	return s.judge.Finish(s.clock.Now() - s.start), ctx.Err()
 }
 
+// glances is how often the judge is told how the servers stand.
+const glances = 250 * policy.Millisecond
+
+// glance tells the judge which servers are there for new work, and who stands idle while others queue.
+func (s *stage) glance(ctx context.Context, length policy.Time) {
+	for at := s.start; at < s.start+length && s.until(ctx, at); at += glances {
+		idle, queues := 0, false
+		s.mu.Lock()
+		for _, v := range s.servers {
+			in, queued, size := v.Stands()
+			if v.gone || v.standing != policy.Ready {
+				size = 0
+			}
+			s.judge.Sized(max(0, s.now()), v.no, size)
+			if size > 0 && in == 0 {
+				idle++
+			}
+			queues = queues || queued > 0
+		}
+		s.judge.Looked(idle, queues, glances)
+		s.mu.Unlock()
+	}
+}
+
 func (s *stage) until(ctx context.Context, at policy.Time) bool {
 	select {
 	case <-ctx.Done():
@@ -498,6 +525,7 @@
 		return 0, 0, false
 	}
 	t := &ticket{sidecar: c, request: r, of: s.judge.Accepted(s.now(), r, c.no, a.Offering, cutOff+slack)}
+	s.judge.About(t.of, a.Key)
 	id := fmt.Sprintf("%d-%d-%d", r, try, s.now())
 	s.tickets[id] = t
 	s.mu.Unlock()
--- a/internal/standin/modelled.go
+++ b/internal/standin/modelled.go
@@ -55,6 +55,16 @@
 	return s, nil
 }
 
+// Stands tells how many requests are in it, how many of these wait, and what it can do in a time while it is whole; 0: it is not there.
+func (s *Modelled) Stands() (in, queued int, size float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil && !s.silent {
+		size = s.traits.Cores * s.traits.Speed
+	}
+	return s.machine.In(), s.machine.Queued(), size
+}
+
 func (s *Modelled) listen(addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
