Sidecars tell what is new of them within a time that grows with the company; drills tell how busy the machine was

Seen: at 300 processes 'minority' ran into a storm: 93,475 times one was held to be gone, leases lost, the machine 93% in use for 140 s after the cut was healed. Checked: a profile of one sidecar in it (memberlist's handling of words of who is there, 1.7% of a core each, 300 on 8 cores); 25 kB/s a sidecar in calm, as each of 300 told each change of version to all in the same second. It does not end the storm, which is the machine's: the same play before and after. Tried and left out: seeking the missing more rarely in large companies, no change (one play each with half of the machine taken away: one good, one storm, either way).

--- a/cmd/pepperlab/drillplay.go
+++ b/cmd/pepperlab/drillplay.go
@@ -123,7 +123,7 @@
 	}
 	fmt.Fprintf(out, "  agreed %.1f s after all was healed; %.1f s without a lease and %.0f times held to be gone over all; one sidecar: %.1f packets and %.0f bytes a second, %.4f of a core\n",
 		r.Converged, r.Unleased, r.Gone, r.Packets, r.Bytes, r.CPU)
-	fmt.Fprintf(out, "  links took %.1f ms (99%%), the clock was looked at %.0f ms late at the worst\n", r.OwnDelay*1000, r.Late*1000)
+	fmt.Fprintf(out, "  links took %.1f ms (99%%), the clock was looked at %.0f ms late at the worst; %.0f%% of the machine was in use\n", r.OwnDelay*1000, r.Late*1000, r.Busy*100)
 	if r.Tables > 0 {
 		fmt.Fprintf(out, "  %d slot tables at the end\n", r.Tables)
 	}
--- a/internal/drill/play.go
+++ b/internal/drill/play.go
@@ -43,6 +43,7 @@
 	OwnDelay   float64 // seconds that a relay took for itself, 99th percentile
 	Late       float64 // seconds by which the latest look at the clock came late
 	Tables     int     // different slot tables at the end, where versions name the servers; they must be one
+	Busy       float64 // part of the machine's cores that was in use, by whomever
 	Void       bool    // the machine stood still for longer than the lease: no figure means anything
 	Failed     []string
 	Gone       float64 // times that a sidecar took another for gone, over all
@@ -90,7 +91,7 @@
 	}
 	before := sums(c.sidecars)
 	r.Begun = int64(clock.True())
-	begin := time.Now()
+	begin, idle := time.Now(), machine()
 	c.ask()
 	var changes sync.WaitGroup
 	half := c.chance.Perm(len(c.sidecars))
@@ -134,6 +135,7 @@
 			r.Failed = append(r.Failed, fmt.Sprintf("sidecars go by %d tables", r.Tables))
 		}
 	}
+	r.Busy = machine().since(idle)
 	close(c.quiet)
 	c.asking.Wait()
 	after, share := sums(c.sidecars), 1/time.Since(begin).Seconds()/float64(len(c.sidecars))
@@ -155,6 +157,29 @@
 	return r, nil
 }
 
+// cores are the times that all cores of the machine have spent, and of these the ones with nothing to do; proc(5), stat.
+type cores struct{ all, idle float64 }
+
+func machine() (c cores) {
+	text, _ := os.ReadFile("/proc/stat")
+	line, _, _ := strings.Cut(string(text), "\n")
+	for i, field := range strings.Fields(line) {
+		if n, err := strconv.ParseFloat(field, 64); err == nil && i <= 8 { // what guests took is in user's already
+			if c.all += n; i == 4 || i == 5 {
+				c.idle += n
+			}
+		}
+	}
+	return c
+}
+
+func (c cores) since(before cores) float64 {
+	if c.all <= before.all {
+		return 0
+	}
+	return 1 - (c.idle-before.idle)/(c.all-before.all)
+}
+
 // ended tells of processes that have ended by themselves, with their last words.
 func (c *Cluster) ended() (all []string) {
 	for _, p := range c.Processes {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -66,6 +66,7 @@
 
 	seekEvery = 3 * time.Second  // between two tries to meet one that is not there
 	forgetIn  = 10 * time.Minute // one that is gone is sought for so long
+	sayEach   = 200 * time.Millisecond // that all together say something new, in the mean
 	leaveIn   = 200 * time.Millisecond
 	sayIn     = time.Millisecond
 	keyFile   = 1 << 10
@@ -82,6 +83,7 @@
 
 	mu    sync.Mutex
 	says  Says
+	sayAt time.Time // when what is new in it is told; zero: nothing is
 	peers map[string]*Peer // by name, also such that have gone
 	next  int              // whom to seek next
 	joins uint64
@@ -182,13 +184,22 @@
 	return wanted[c.next%len(wanted)]
 }
 
-// Say changes what is told of this sidecar, if it is different.
+// Say changes what is told of this sidecar; it is called again and again. Each word of one goes to all, and a change of the rules is one for all
+// at once: hundreds that told it in the same second filled the network by their square, late answers cost leases, and that was to be told again.
+// So what is new is told within a time that grows with the company, each at a moment of its own.
 func (c *Company) Say(version, table uint64) {
+	alive, now := c.Alive(), time.Now()
 	c.mu.Lock()
-	changed := c.says.Version != version || c.says.Table != table
+	if changed := c.says.Version != version || c.says.Table != table; changed && c.sayAt.IsZero() {
+		c.sayAt = now.Add(rand.N(time.Duration(max(1, alive)) * sayEach))
+	}
 	c.says.Version, c.says.Table = version, table
+	due := !c.sayAt.IsZero() && !now.Before(c.sayAt)
+	if due {
+		c.sayAt = time.Time{}
+	}
 	c.mu.Unlock()
-	if changed {
+	if due {
 		c.list.UpdateNode(sayIn) // spreads on after that; without an end it would wait until it has been sent often enough
 	}
 }
