Hot keys are seen within a second and go to the less loaded of two; servers are loaded by own answers

Checked, by counts per server and rank of key: the 100 most popular keys lay over servers with a spread of 0.2 to 0.3 of the mean, the rest 0.1; a sidecar that takes 13 tickets a second and remembers 256 needs seconds to see a key with 7.5% of them. A server in trouble was met by each once in 7.5 s, as often as it was tried when set aside for 7.5 s, so 300 kept it full.

Now: heat by the last 32 tickets too, less one; over twice as many servers, the less loaded of two drawn; where the list shows no load, a server whose answers take 1.5 times the mean, and clearly more than unloaded, is walked past in part, as those over the bound of held tickets were; an answer counts the more the longer the server was silent.

Comments of the module are shorter; what it says is unchanged.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,5 @@
-// Package policy decides where tickets go and what becomes of them. New starts an instance; List, ListFailed,
-// Admit then Begin, PushEnded, Until, ClientLeft, Leave and Woken tell it what happened. It answers through its
-// Front, within the call. Ids: types.go; reasons: docs/design.md. One goroutine uses it; it shares nothing.
+// Package policy decides where tickets go and what becomes of them. An instance is told what happened and
+// answers through its Front, within the call. Ids: types.go; reasons: docs/design.md. One goroutine uses it.
 package policy
 
 import (
@@ -17,7 +16,6 @@
 	slots      = 1 << 14     // one size for all, so that sidecars started at any fleet size agree
 	layoutSeed = 0x70657070  // fixed: every sidecar lays out the same table
 	holdTime   = 30 * Second // a server listed gone keeps its slots this long
-	hotSpread  = 4           // servers for a key whose part of all traffic is one server's
 
 	skipFirst, skipMost   = 2 * Second, 16 * Second // time aside, doubled on each relapse
 	inRow, firstLimit     = 3, 2                    // failures that set aside; pushes out to a new server
@@ -26,6 +24,7 @@
 	paceLate, paceLost    = 0.75, 0.5               // mean lateness at which it is cut; where late earns nothing
 	paceSpare, paceFree   = 4, 16                   // times what is out, or pushes at each server, left to it
 	heatPrior, sureBeyond = 64, 2                   // tickets under other keys before; errors over a share
+	lately, hotSpread     = 32, 8                   // tickets that show a new hot key; servers for one's worth
 	shortOfHit, coldEarns = 0.25, 0.8               // no keys remembered: four times the work; own answers' part
 	repeatValue, waitPart = 0.5, 0.5                // worth of a client's repeat; what may wait of home's rate
 	paceGrowth, firstWait = 0.5, 2.0                // growth at no lateness; quoted times for a first push
@@ -33,10 +32,9 @@
 	splitWorth, placeLost = 5, 0.5                  // load at which crossings pay; limit for a lone time-out
 	leanAway, leanBack    = 0.15, 0.05              // near load beyond far: fewer keys stay near, and more
 
-	heldBound, resized     = 1.5, 1.1               // times the mean held, walked past; change that moves slots
+	heldBound, resized     = 1.5, 1.1               // times the mean load, walked past; change that moves slots
 	agreed, listFresh      = 0.1, 2 * Second        // first tries with less time; age of a list believed on load
-	idleKeep               = 10 * Second            // idle time of shared connections over all, at full load
-	askEach                = 10 * Millisecond       // for a sidecar to ask: the list's service does not grow
+	idleKeep, askEach      = 10 * Second, 1e7       // idle connections over all; ns for each to ask the list
 	rateSpan, tendEvery    = 3 * Second, Second / 4 // memory of the rate meters; between looks at all servers
 	marginTicks, pollTicks = 3, 10                  // ticks before a cut-off to answer in; between looks
 )
@@ -100,8 +98,7 @@
 	b.drain(now, -1)
 }
 
-// brake cuts the pace when the list shows more held than can be answered in the quoted time, going by what
-// answers took while less was held: all see a jam at once, seconds before what each has out comes to its end.
+// brake cuts the pace when the list shows more held than, by what answers took, can be answered in time.
 func (b *Balancer) brake(now Time) {
 	if b.meanHeld == 0 {
 		return
@@ -151,8 +148,7 @@
 	}
 	reweighed := s.Weight != m.Weight
 	if m.Started > s.Started {
-		// A restarted server is cold and knows no keys; what was learned of it is void. Its budget starts
-		// anywhere under a push: from zero, hundreds of sidecars would send none for minutes, then all at once.
+		// What was learned is void. From a budget of zero, hundreds would send nothing for long, then all at once.
 		s.limit, s.ratio, s.row, s.trickle, s.asideTill, s.skip = firstLimit, 0, 0, 0, 0, 0
 		s.budget, s.budgetAt, s.served = b.chance.part(), now, meter{}
 	}
@@ -236,9 +232,8 @@
 	}
 }
 
-// ListFailed is told when asking failed or following broke.
+// ListFailed is told when asking failed or following broke. Asked in step, its service would stay swamped.
 func (b *Balancer) ListFailed(now Time) {
-	// Re-asking in step would keep the list's service swamped: each wait is doubled and spread.
 	b.askWait = min(max(2*b.askWait, Time(b.campaign.Sidecars)*askEach, Second/4), b.campaign.MustAskIn/4)
 	b.askAt = now + Time(float64(b.askWait)*(0.5+b.chance.part()))
 	b.front.Log(fmt.Sprintf("list: failed, asking again in %dms", (b.askAt-now)/Millisecond))
@@ -281,18 +276,21 @@
 	return t.handle()
 }
 
-// heat is the part that the key has of our recent tickets, this one apart. A key with more than a server's
-// share of all traffic would drown its owner, and no sidecar of hundreds has the pushes out to see that.
+// heat is the part that the key has of our recent tickets, this one apart, or, less one more, of the latest.
+// One with more than a server's share would drown its owner before any of hundreds sees it by its pushes.
 func (b *Balancer) heat(key uint64) float64 {
-	n := -1
+	n, late := -1.0, -2.0
 	b.recent[b.recentAt%len(b.recent)] = key
 	b.recentAt++
-	for _, k := range b.recent {
+	for i, k := range b.recent {
 		if k == key {
 			n++
+			if (b.recentAt-1-i)%len(b.recent) < lately {
+				late++
+			}
 		}
 	}
-	return float64(n) / float64(min(b.recentAt, len(b.recent))+heatPrior)
+	return max(n/float64(min(b.recentAt, len(b.recent))+heatPrior), late/(2*lately))
 }
 
 // worth is the credit expected for each second that a server works on the ticket.
@@ -356,9 +354,8 @@
 // enqueue lets the ticket wait in order of worth, then age, unless the wait would end in no answer.
 func (b *Balancer) enqueue(now Time, t *ticket) {
 	rate, waiting, worst := b.done.now(now), 0, -1
-	if t.home >= 0 {
-		home := &b.servers[t.home]
-		rate = max(home.served.now(now), home.limit*float64(Second)/b.usual[t.offering])
+	if p := t.home; p >= 0 {
+		rate = max(b.servers[p].served.now(now), b.servers[p].limit*float64(Second)/b.usual[t.offering])
 	}
 	for i, place := range b.queue {
 		if b.slab[place].home == t.home {
@@ -400,8 +397,7 @@
 		s.budget--
 	}
 	t.tried[t.pushes%len(t.tried)] = to
-	t.pushes++
-	t.out, b.out, s.out, t.sentAt = t.out+1, b.out+1, s.out+1, now
+	t.pushes, t.out, b.out, s.out, t.sentAt = t.pushes+1, t.out+1, b.out+1, s.out+1, now
 	b.idles(t, to, 1)
 	t.next = (*Balancer).pushed
 	b.front.Push(t.handle(), s.ID, wait)
@@ -511,8 +507,7 @@
 	}
 }
 
-// choose walks the table from the ticket's slot to the first usable server, its home, or if that has no
-// room to one it may spill to. -1: wait for home.
+// choose walks the table to the first usable server, home, or if that is full one it may spill to. -1: wait.
 func (b *Balancer) choose(now Time, t *ticket, last bool) int32 {
 	home, spare := int32(-1), int32(-1)
 	b.epoch++
@@ -522,7 +517,8 @@
 		if near {
 			owners = b.nearOwners
 		}
-		over := int(b.chance.part() * max(1, t.heat*hotSpread*float64(owners)))
+		most := max(1, t.heat*hotSpread*float64(owners))
+		one, other, rival := int(b.chance.part()*most), int(b.chance.part()*most), int32(-1)
 		for i := 0; i < len(b.table) && seen < owners; i++ {
 			p := b.table[(t.slot+i)%len(b.table)]
 			s := &b.servers[p]
@@ -537,10 +533,14 @@
 				if spare < 0 && !b.cold(now, s) {
 					spare = p
 				}
-			case over > 0 && home < 0:
-				// A hot key is dealt out over as many servers of its walk as its part of all traffic needs.
-				over--
-				spare = p
+			case home < 0 && max(one, other) > 0:
+				// A hot key is dealt over as many as its part of all needs, to the less loaded of two.
+				if min(one, other) == 0 {
+					rival = p
+				}
+				one, other, spare = one-1, other-1, p
+			case home < 0 && rival >= 0 && b.servers[rival].ratio < s.ratio && b.room(&b.servers[rival]):
+				return rival
 			case b.room(s) && (home < 0 || last && b.load(s) < crowded || b.spills(home, s)):
 				return p
 			case home < 0:
@@ -561,8 +561,7 @@
 
 func (b *Balancer) room(s *server) bool { return float64(s.busy()) < s.limit }
 
-// spills: home is at its limit; the other must hold less by the margin, or have that many places free. And it
-// must be roomy: a spilled key is not remembered there, and under load that work is taken from others.
+// spills: home is at its limit; the other, which does not know the key, must be roomy, and hold less.
 func (b *Balancer) spills(home int32, s *server) bool {
 	fewer := b.servers[home].busy()-s.busy() >= spillMargin || float64(s.busy()+spillMargin) <= s.limit
 	return fewer && b.load(s) < roomy
@@ -585,27 +584,33 @@
 }
 
 func (b *Balancer) usable(now Time, s *server) bool {
-	if now < s.asideTill || s.trickle > 0 && s.out >= s.trickle {
-		return false
-	}
-	return !b.cold(now, s) || b.save(now, s) >= 1
+	return now >= s.asideTill && (s.trickle < 1 || s.out < s.trickle) && (!b.cold(now, s) || b.save(now, s) >= 1)
 }
 
-// over tells whether a ticket walks past a server that holds more than the bound for its size. The part that
-// does grows with the excess, so that hundreds of sidecars with one late list do not all leave it at once.
+// over: a part of the tickets walks past a server over its bound, lest hundreds leave it all at once.
 func (b *Balancer) over(s *server) bool {
 	takes := b.takes(s)
 	return takes < 1 && b.chance.part() > takes*takes
 }
 
-func (b *Balancer) takes(s *server) float64 { return heldBound * (1 + b.meanHeld) / (1 + s.held) }
+func (b *Balancer) takes(s *server) float64 {
+	if b.meanHeld == 0 { // the list shows no load: what its answers to us take stands in for it
+		return heldBound * max(b.late, b.calm+roomy) / max(s.ratio, b.calm)
+	}
+	return heldBound * (1 + b.meanHeld) / (1 + s.held)
+}
+
+// hear takes in what an answer took, in quoted times: the more, the longer nothing was heard of the server.
+func (s *server) hear(now, quoted Time, part float64) {
+	s.ratio += max(0.2, min(1, float64(now-s.heardAt)/float64(4*quoted))) * (part - s.ratio)
+	s.heardAt = now
+}
 
 func (b *Balancer) cold(now Time, s *server) bool {
 	return s.Started > 0 && now < s.Started+b.campaign.ColdTime
 }
 
-// worksAs is what a server is taken to do. A size learned from weights that fall with load is too small until
-// the server was seen idle, as after our own restart; one that starts idle would seem several times as big.
+// worksAs is what a server is taken to do. A size learned from falling weights is small until it was idle.
 func (b *Balancer) worksAs(s *server) float64 {
 	if b.campaign.Weighted {
 		return s.Weight
@@ -613,8 +618,7 @@
 	return 1
 }
 
-// save lets a cold server's budget grow. Every sidecar allows it the same part of what its own pushes show
-// warm servers to bear, or itself to honour, so that all parts together stay within the multiple.
+// save lets a cold server's budget grow, by the same part at all sidecars of what warm ones bear or it does.
 func (b *Balancer) save(now Time, s *server) float64 {
 	c := b.campaign
 	share := c.ColdShare + (1-c.ColdShare)*float64(now-s.Started)/float64(c.ColdTime)
@@ -648,8 +652,7 @@
 		return // its client left less time than answers take, which is no sign of the server
 	}
 	if o != Honoured {
-		// Errors and lost connections are no sign of load, nor a time-out while a later push was honoured and load
-		// is low: one connection is silent. What turns away, yet answers in time, leaves before the list knows.
+		// Errors are no sign of load, nor is a lone time-out. What turns away, yet answers in time, is leaving.
 		full := o == TurnedAway && (b.load(s) > crowded || s.held > b.meanHeld)
 		if !full {
 			b.bad(now, t, s, o)
@@ -657,7 +660,7 @@
 		if full || o == TimedOut && (now-spent >= s.soundAt || b.load(s) > roomy) {
 			b.regulate(now, s, 1, min(spent, quoted), quoted)
 			b.cut(now, s, 0.7)
-			s.ratio += 0.2 * (max(1, part) - s.ratio)
+			s.hear(now, quoted, max(1, part))
 		} else if o == TimedOut && float64(s.busy()+2) >= s.limit {
 			s.limit += placeLost // what waited for nothing held a place that others needed
 		}
@@ -671,7 +674,7 @@
 	}
 	b.pushes = min(pushesCap, b.pushes+pushCredit)
 	b.usual[t.offering] += 0.05 * (float64(spent) - b.usual[t.offering])
-	s.ratio += 0.2 * (part - s.ratio)
+	s.hear(now, quoted, part)
 	if s.trickle *= 2; s.trickle > 0 && float64(s.trickle) >= s.limit {
 		s.trickle = 0
 		b.front.Log(fmt.Sprintf("server %d: back in full use", s.ID))
@@ -686,15 +689,14 @@
 	}
 }
 
-// regulate sets the pace: how many pushes may be out in all. With many sidecars one push from each to each
-// server is enough to keep every server choked, and none hears of one server often enough to hold back.
+// regulate sets the pace, pushes that may be out in all: one from each of hundreds would choke every server.
 func (b *Balancer) regulate(now Time, s *server, late float64, spent, quoted Time) {
 	side := &b.sides[0]
 	if s.Zone == b.campaign.Zone {
 		side = &b.sides[1]
 	}
 	*side += 0.05 * (late - *side)
-	if b.takes(s) < 1 {
+	if b.meanHeld > 0 && b.takes(s) < 1 {
 		return // its own trouble, and no reason to send less to the others
 	}
 	// What was late is forgotten with time too: held down to a push in two seconds, ten of them outlast any jam.
@@ -756,11 +758,10 @@
 	if now < b.tendAt {
 		return
 	}
-	warm := 0.0
 	b.tendAt, b.aside = now+tendEvery, 0
 	// An empty list is more likely a fault of the list than the end of the fleet, and moves nothing.
 	empty := !slices.ContainsFunc(b.servers, func(s server) bool { return s.Standing != Gone })
-	expected := max(0.2, b.expected()) // a place kept costs most where servers are busy
+	warm, expected := 0.0, max(0.2, b.expected()) // a place kept costs most where servers are busy
 	idle := Time(float64(idleKeep) / float64(b.campaign.Sidecars) / (expected * expected))
 	for i := range b.servers {
 		s := &b.servers[i]
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,6 +21,7 @@
 	held      float64 // tickets for each core, as the list last showed
 	limit     float64 // pushes that may be out to it
 	ratio     float64 // mean of answer time over quoted time
+	heardAt   Time    // latest change of that by an answer
 	cutAt     Time
 	soundAt   Time   // when the latest honoured push was sent
 	row       int    // failures in a row
