--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -64,8 +64,8 @@
 	probeIn    = 300 * time.Millisecond // far more than the way there and back: a process that waits for a core is no dead one
 	tcpIn      = 2 * time.Second
 
-	seekEvery = 3 * time.Second  // between two tries to meet one that is not there
-	forgetIn  = 10 * time.Minute // one that is gone is sought for so long
+	seekEvery = 3 * time.Second        // between two tries to meet one that is not there
+	forgetIn  = 10 * time.Minute       // one that is gone is sought for so long
 	sayEach   = 200 * time.Millisecond // that all together say something new, in the mean
 	leaveIn   = 200 * time.Millisecond
 	sayIn     = time.Millisecond
@@ -83,7 +83,7 @@
 
 	mu    sync.Mutex
 	says  Says
-	sayAt time.Time // when what is new in it is told; zero: nothing is
+	sayAt time.Time        // when what is new in it is told; zero: nothing is
 	peers map[string]*Peer // by name, also such that have gone
 	next  int              // whom to seek next
 	joins uint64
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	paceLate, paceLost    = 0.75, 0.5               // mean lateness at which it is cut; where late earns nothing
 	paceSpare, paceFree   = 4, 16                   // times what is out, or pushes at each server, left to it
 	heatPrior, sureBeyond = 64, 2                   // tickets under other keys before; errors over a share
-	lately, hotSpread     = 32, 8                   // tickets that show a new hot key; servers for one's worth
+	lately, hotSpread     = 32, 6                   // tickets that show a new hot key; servers for one's worth
 	shortOfHit, coldEarns = 0.25, 0.8               // no keys remembered: four times the work; own answers' part
 	repeatValue, waitPart = 0.5, 0.5                // worth of a client's repeat; what may wait of home's rate
 	paceGrowth, firstWait = 0.5, 2.0                // growth at no lateness; quoted times for a first push
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -745,7 +745,7 @@
 		}
 	}
 	for range 4000 {
-		tk := ticket{slot: int(b.chance.part() * slots), key: 1, heat: 0.125} // dealt over all ten
+		tk := ticket{slot: int(b.chance.part() * slots), key: 1, heat: 1. / hotSpread} // dealt over all ten
 		share[b.choose(2*Second, &tk, false)%2]++
 	}
 	if share[0] > 1500 || share[0] < 500 {
