A cold server is no less loaded one for hot keys

Checked: a server that has started has a mean answer time of none, so of the two drawn for a hot key it always won (2,959 of 4,000 to the cold half in the new test, 2,000 by chance) until its budget was spent. Ruled out: the budget itself, which is untouched.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -535,7 +535,7 @@
 				}
 			case home < 0 && max(one, other) > 0:
 				// A hot key is dealt over as many as its part of all needs, to the less loaded of two.
-				if min(one, other) == 0 {
+				if min(one, other) == 0 && !b.cold(now, s) {
 					rival = p
 				}
 				one, other, spare = one-1, other-1, p
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -751,6 +751,22 @@
 	if share[0] > 1500 || share[0] < 500 {
 		t.Errorf("of 4000 tickets of hot keys %d went to the loaded half", share[0])
 	}
+	// A cold one that has answered nothing yet is no less loaded one: it would be sent all that its budget allows, in work that is known elsewhere.
+	cold := 0
+	for i := range b.servers {
+		if b.servers[i].ratio = b.calm; i%2 == 0 {
+			b.servers[i].ratio, b.servers[i].Started, b.servers[i].budget, b.servers[i].budgetAt = 0, Second, 1, 2*Second
+		}
+	}
+	for range 4000 {
+		tk := ticket{slot: int(b.chance.part() * slots), key: 1, heat: 1. / hotSpread}
+		if b.choose(2*Second, &tk, false)%2 == 0 {
+			cold++
+		}
+	}
+	if cold > 2300 || cold < 1700 {
+		t.Errorf("of 4000 tickets of hot keys %d went to the cold half", cold)
+	}
 	tk := ticket{slot: 5, key: 1}
 	first := b.choose(2*Second, &tk, false)
 	for range 100 {
