--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,7 +88,7 @@
 	weight   float64
 	standing policy.Standing // as discovery knows it
 	began    policy.Time
-	gone     bool
+	gone     atomic.Bool
 }
 
 type sidecar struct {
@@ -166,7 +167,7 @@
 		s.mu.Lock()
 		for _, v := range s.servers {
 			in, queued, size := v.Stands()
-			if v.gone || v.standing != policy.Ready {
+			if v.gone.Load() || v.standing != policy.Ready {
 				size = 0
 			}
 			s.judge.Sized(max(0, s.now()), v.no, size)
@@ -461,7 +462,7 @@
 	s.mu.Unlock()
 	time.AfterFunc(time.Duration(wait), func() {
 		s.mu.Lock()
-		if v.Started() != started || standing == policy.Gone && !v.gone {
+		if v.Started() != started || standing == policy.Gone && !v.gone.Load() {
 			s.mu.Unlock()
 			return // it has changed again meanwhile
 		}
--- a/internal/rehearsal/script.go
+++ b/internal/rehearsal/script.go
@@ -28,7 +28,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, v := range s.servers {
-		if v.standing == policy.Ready && !v.gone && (f.Zone == "" || f.Zone == v.zone) && (f.Pod < 0 || f.Pod == int(v.cell)) &&
+		if v.standing == policy.Ready && !v.gone.Load() && (f.Zone == "" || f.Zone == v.zone) && (f.Pod < 0 || f.Pod == int(v.cell)) &&
 			(len(f.Server) == 0 || slices.Contains(f.Server, int(v.no))) {
 			some = append(some, v)
 		}
@@ -92,7 +92,7 @@
 	case emulator.ZoneLost, emulator.Silent:
 		for _, v := range some {
 			v.Silent(true)
-			v.gone = true
+			v.gone.Store(true)
 			s.noticed(v, policy.Gone, false)
 		}
 		if f.Kind == emulator.ZoneLost && f.Sidecars {
@@ -101,7 +101,7 @@
 		s.after(f.For, func() { s.revive(some, f.Cold) })
 	case emulator.Crash:
 		for _, v := range some {
-			v.gone = true
+			v.gone.Store(true)
 			v.Stop()
 			s.noticed(v, policy.Gone, true)
 		}
@@ -135,7 +135,7 @@
 	}
 	for _, v := range some {
 		v.Silent(false)
-		v.gone = false
+		v.gone.Store(false)
 		s.noticed(v, policy.Ready, true)
 	}
 }
@@ -147,7 +147,7 @@
 			s.log("server %s: %v", v.uid, err)
 			continue
 		}
-		v.gone = false
+		v.gone.Store(false)
 		s.noticed(v, policy.Ready, true)
 	}
 }
@@ -162,7 +162,7 @@
 	s.after(wait, func() {
 		v.Stop()
 		if f.Kind == emulator.Shrink {
-			v.gone = true
+			v.gone.Store(true)
 			s.noticed(v, policy.Gone, true)
 			return
 		}
