The agent is heard before the first push, and within the grace whatever becomes of a call

Seen, with agents scripted call by call (internal/roster/agent_test.go; all of it failed before): - A process pushed by its saved list at once; what the agent has binds from its first moment. Sent to a server that drains, 1 of 1. - A watch whose kept connection had ended was made again by the transport itself, from the old number, and so waited 20 s at an agent that had come back with lower numbers or was silent ("asked all 41 41"). Checked and sound: a move to another agent asks it for all; a source that is left tells nothing any more; the list is followed to the end.

Lines at fault: roster/platform.go, answerIn and tryAtMost for an agent on this machine, version kept after a failed call; proto/sidecar.go, Run, which let clients in before anything was heard.

Now, where lists are pushed and the settings tell the grace: a third of it (0.1 to 0.5 s) for an answer to begin and for its body, the next call at once after a first failure, then every tenth of it (20 to 100 ms); after a failure all is asked for; a repeat by the transport is taken for a failure. Clients wait outside the door for the first answer, for one such time at most; then the saved list serves. Elsewhere (discovery far away, or to be asked) as before. Calls while all is well: the same, one watch of 20 s after another.

Found beside it: a process that was told to end while it learned from the one before it said it was ready.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -241,7 +241,13 @@
 	if err := post.operators(told.Admin, env); err != nil {
 		return post, err
 	}
-	post.Source = roster.NewPlatform(post.Discovery, values.Of["membership_mode"] == "on_request")
+	at := roster.NewPlatform(post.Discovery, values.Of["membership_mode"] == "on_request")
+	if _, told := values.Of["rules.drain_grace_s"]; told && values.Of["membership_mode"] == "pushed" {
+		// Discovery is an agent on this machine that has what is told: a process that starts hears it before its first push.
+		at.Grace = max(time.Millisecond, time.Duration(values.Span("rules.drain_grace_s")))
+		post.First = policy.Time(at.AnswerIn())
+	}
+	post.Source = at
 	if post.Campaign, err = campaign.Read(values); err != nil {
 		return post, fmt.Errorf("%s: settings: %w", path, err)
 	}
--- a/internal/engine/members.go
+++ b/internal/engine/members.go
@@ -27,6 +27,7 @@
 	ended   chan struct{}
 	on      bool // the module wants it followed
 	heard   bool // some list is there
+	fresh   bool // one that the source has told, and not only one that was saved
 	failed  int  // calls in a row
 	refused string
 	byHand  map[string]hand // by uid
@@ -94,7 +95,7 @@
 	switch n := t.news; {
 	case n.List != nil:
 		f.succeeded()
-		f.refused = ""
+		f.refused, f.fresh = "", true
 		if f.e.terms != nil {
 			f.keep(n.List)
 		}
--- a/internal/engine/renew.go
+++ b/internal/engine/renew.go
@@ -43,5 +43,8 @@
 		slices.EqualFunc(a.Franchises, b.Franchises, func(x, y policy.Franchise) bool { return x.Name == y.Name })
 }
 
+// Fresh tells whether the source has told a list since the start.
+func (e *Engine) Fresh() bool { return e.list.fresh }
+
 // Heard tells whether a list of servers is known, and why the latest was refused, "" if it was not.
 func (e *Engine) Heard() (heard bool, refused string) { return e.list.heard, e.list.refused }
--- a/internal/proto/leave.go
+++ b/internal/proto/leave.go
@@ -17,6 +17,9 @@
 
 // Leave begins the end: for a while clients may still come, and every answer now closes its connection.
 func (s *Sidecar) Leave(now policy.Time) {
+	if s.waits {
+		s.open(now) // whoever came before the first list is owed an answer too
+	}
 	s.serves.Store(false)
 	s.acceptTo = now + s.post.Accept
 	if s.post.Inherited > 0 {
--- a/internal/proto/sidecar.go
+++ b/internal/proto/sidecar.go
@@ -36,6 +36,7 @@
 	Stall       policy.Time     // as the engine has it
 	Inherited   int             // descriptor of a listener that others have too; 0: the sidecar listens by itself
 	Follows     bool            // another process of this sidecar serves already
+	First       policy.Time     // for so long at most clients wait at the start until the source has told its list; 0: they do not
 	Learn       func()          // takes over what that has learned; called beside the loop
 	Known       []byte          // a list saved earlier, as discovery gives it
 }
@@ -63,6 +64,7 @@
 	streams   int          // answers that are handed on as they come
 	shared    int          // so many the limits were last shared by
 	serves    atomic.Bool  // it listens, and does not end
+	waits     bool         // with its clients for the first list
 	emptyAt   policy.Time  // when none is expected any more
 	acceptTo  policy.Time  // until then new connections may come
 }
@@ -88,7 +90,6 @@
 	s.shared = 1
 	s.sockets = newSockets(s.Clock, s.buffers, &post, s.conns.Accept, s.Signal)
 	s.room.Do = s.makeRoom
-	s.begin.Do = s.beginWhenReady
 	return s
 }
 
@@ -98,13 +99,7 @@
 		s.Engine.Abandon()
 		return err
 	}
-	if s.post.Follows {
-		// Another process serves: what this one takes before it can serve would wait.
-		s.Timers.Set(&s.begin, s.Clock.Now()+beginEvery)
-	} else {
-		close(s.sockets.gate.begun)
-		s.serves.Store(true)
-	}
+	s.start(s.Clock.Now())
 	s.Logger.WithFields(logrus.Fields{"listen": s.post.Listen, "descriptors": s.post.Descriptors,
 		"buffers_mb": s.post.Memory >> 20}).Info("serving")
 	go func() {
@@ -127,6 +122,9 @@
 // Gather takes what has happened on the sockets, and requests that came with others before them.
 func (s *Sidecar) Gather(now policy.Time) {
 	s.keepToShare(now)
+	if s.waits && s.Fresh() {
+		s.open(now)
+	}
 	for _, e := range s.sockets.take() {
 		s.happened(now, e)
 		s.Tell(now)
--- /dev/null
+++ b/internal/roster/agent_test.go
@@ -0,0 +1,217 @@
+package roster
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pepperlead/policy"
+)
+
+// script is an agent that does with each call what the test says, in turn; the last goes on for all that follow.
+type script struct {
+	net.Listener
+	mu    sync.Mutex
+	steps []func(c net.Conn, call *http.Request) (stays bool)
+	calls []string
+}
+
+func newScript(t *testing.T, steps ...func(c net.Conn, call *http.Request) bool) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{Listener: l, steps: steps}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				for in := bufio.NewReader(c); ; {
+					call, err := http.ReadRequest(in)
+					if err != nil {
+						c.Close()
+						return
+					}
+					s.mu.Lock()
+					s.calls = append(s.calls, call.URL.String())
+					do := s.steps[0]
+					if len(s.steps) > 1 {
+						s.steps = s.steps[1:]
+					}
+					s.mu.Unlock()
+					if !do(c, call) {
+						c.Close()
+						return
+					}
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { l.Close() })
+	return s
+}
+
+// asked are the calls so far: "all" or the number that changes are asked from.
+func (s *script) asked() (all []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.calls {
+		_, from, watch := strings.Cut(c, "from=")
+		if from, _, _ = strings.Cut(from, "&"); !watch {
+			from = "all"
+		}
+		all = append(all, from)
+	}
+	return all
+}
+
+func says(text string) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, _ *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		return true
+	}
+}
+
+func listAt(rev int, all bool, state string) string {
+	return fmt.Sprintf("{\n\t\"rev\": %d,\n\t\"all\": %v,\n\t\"targets\": [\n\t\t{\"uid\":\"s-1\",\"endpoint\":\"10.1.0.18:9000\",\"az\":\"a\","+
+		"\"pod_group\":3,\"state\":\"%s\",\"boot_ms\":0}\n\t]\n}\n", rev, all, state)
+}
+
+func silent(net.Conn, *http.Request) bool { return true }
+
+// Whatever becomes of a call, what the agent has is known within the grace for drains, and asked for whole: its numbers may not go on.
+func TestDrainsAreKnownInTimeWhateverBecomesOfACall(t *testing.T) {
+	const grace = 400 * time.Millisecond
+	first := says(listAt(41, true, "Ready"))
+	for name, do := range map[string]func(net.Conn, *http.Request) bool{
+		"reset":         func(c net.Conn, _ *http.Request) bool { c.(*net.TCPConn).SetLinger(0); return false },
+		"closed":        func(net.Conn, *http.Request) bool { return false },
+		"spoilt status": func(c net.Conn, _ *http.Request) bool { fmt.Fprint(c, "HTTP/1.1 5x3 \r\n\r\n"); return true },
+		"another status": func(c net.Conn, _ *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+			return true
+		},
+		"broken off": func(c net.Conn, _ *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"rev\":42")
+			return false
+		},
+		"stops in its body": func(c net.Conn, _ *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"rev\":42")
+			return true
+		},
+		"unreadable":    says(`{"rev":42,"all":false,"targets":[{"uid":"s-1"}]}`),
+		"lower numbers": says(`{"rev":2,"all":false,"targets":[]}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var at atomic.Int64
+			broken := func(c net.Conn, call *http.Request) bool { at.Store(time.Now().UnixNano()); return do(c, call) }
+			drains := says(listAt(3, true, "Terminating")) // its numbers are lower than before
+			s := newScript(t, first, broken, drains, silent)
+			took := heard(t, s, grace, func() time.Time { return time.Unix(0, at.Load()) })
+			if got := strings.Join(s.asked()[:3], " "); got != "all 41 all" {
+				t.Errorf("asked %s", got)
+			}
+			if took > grace {
+				t.Errorf("known after %v", took)
+			}
+		})
+	}
+}
+
+// heard is how long after a moment the source tells that s-1 drains.
+func heard(t *testing.T, s *script, grace time.Duration, since func() time.Time) time.Duration {
+	p := NewPlatform(s.Addr().String(), false)
+	p.Grace = grace
+	p.Follow(true)
+	ctx, end := context.WithCancel(context.Background())
+	told, over := make(chan time.Time, 1), make(chan struct{})
+	go func() {
+		defer close(over)
+		p.Run(ctx, func(n News) {
+			if n.List != nil && len(n.List.Entries) > 0 && n.List.Entries[0].Standing == policy.Draining {
+				select {
+				case told <- time.Now():
+				default:
+				}
+			}
+		})
+	}()
+	defer func() { end(); <-over }()
+	select {
+	case at := <-told:
+		return at.Sub(since())
+	case <-time.After(5 * time.Second):
+		t.Fatalf("not known at all; asked %v", s.asked())
+	}
+	return 0
+}
+
+// An agent that is silent for long, because discovery is down, and comes back with a drain: it binds at once.
+func TestSilentAgentIsHeardAtItsReturn(t *testing.T) {
+	const grace = 500 * time.Millisecond
+	for name, start := range map[string][]func(net.Conn, *http.Request) bool{
+		"from the first call": {},
+		"after a list":        {says(listAt(41, true, "Ready")), func(net.Conn, *http.Request) bool { return false }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			back := time.Now().Add(1500 * time.Millisecond)
+			down := func(c net.Conn, call *http.Request) bool {
+				if time.Now().After(back) {
+					return says(listAt(42, true, "Terminating"))(c, call)
+				}
+				return true // never answered, also not later
+			}
+			s := newScript(t, append(start, down)...)
+			if took := heard(t, s, grace, func() time.Time { return back }); took > grace {
+				t.Errorf("heard %v after its return", took)
+			}
+			if n := len(s.asked()); n > 20 {
+				t.Errorf("%d calls in an outage of 1.5 s", n)
+			}
+		})
+	}
+}
+
+// A connection that was kept and has died unnoticed is found by its use: the call is made again at once on another.
+func TestKeptConnectionThatDiedCostsNoTime(t *testing.T) {
+	var died atomic.Int64
+	first := func(c net.Conn, call *http.Request) bool {
+		says(listAt(41, true, "Ready"))(c, call)
+		died.Store(time.Now().UnixNano())
+		return false // the agent closes behind its answer, and does not say so
+	}
+	s := newScript(t, first, says(listAt(42, false, "Terminating")), silent)
+	if took := heard(t, s, time.Second, func() time.Time { return time.Unix(0, died.Load()) }); took > 300*time.Millisecond {
+		t.Errorf("known after %v", took)
+	}
+}
+
+// Where discovery may be far away, failed calls come ever more seldom, and a process that must ask does so once.
+func TestCallsToADistantDiscoveryGrowRare(t *testing.T) {
+	p := NewPlatform("127.0.0.1:1", false)
+	var last time.Duration
+	for n := 1; n < 20; n++ {
+		if got := p.pause(n); got < last || got > tryAtMost || n > 6 && got != tryAtMost {
+			t.Errorf("after %d failures %v, before %v", n, got, last)
+		} else {
+			last = got
+		}
+	}
+	if p.AnswerIn() != answerIn {
+		t.Errorf("an answer may take %v", p.AnswerIn())
+	}
+}
--- a/internal/roster/platform.go
+++ b/internal/roster/platform.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"pepperlead/policy"
@@ -14,20 +15,46 @@
 
 const (
 	hold       = 20 * time.Second // for a watch to wait for news
-	answerIn   = 2 * time.Second  // beyond that, for an answer to come
+	answerIn   = 2 * time.Second  // for an answer to come, where discovery may be far away or must be asked
 	tryAgain   = 100 * time.Millisecond
 	tryAtMost  = 2 * time.Second
 	nothingNew = 50 * time.Millisecond // to the next call; a watch ends after 200 ms without one
 	mostList   = 2 << 20
 	mostHead   = 16 << 10
+
+	// Of the time in which sends to a server that drains must end: for an agent to answer, and between two calls that fail. Both, a dial
+	// and the deal of the list must fit in it, as what the agent gets binds at once.
+	gracePerAnswer, gracePerPause = 3, 10
+	leastAnswer, mostAnswer       = 100 * time.Millisecond, time.Second / 2
+	leastPause                    = 20 * time.Millisecond
 )
 
 // Platform follows the platform's discovery: the whole list, then one watch after another.
 type Platform struct {
 	gate
-	From net.IP // calls leave from there; nil: from whichever address the kernel picks
-	addr string
-	once bool // after a failed call none is made until Follow says so
+	From  net.IP        // calls leave from there; nil: from whichever address the kernel picks
+	Grace time.Duration // discovery is an agent on this machine, and what it has been told binds so much later; 0: it is neither
+	addr  string
+	once  bool // after a failed call none is made until Follow says so
+}
+
+// AnswerIn is how long an answer may take to begin, beyond what its call is to wait.
+func (p *Platform) AnswerIn() time.Duration {
+	if p.Grace == 0 {
+		return answerIn
+	}
+	return min(max(p.Grace/gracePerAnswer, leastAnswer), mostAnswer)
+}
+
+// pause is how long after so many failures in a row the next call is made.
+func (p *Platform) pause(failed int) time.Duration {
+	switch {
+	case failed == 1 && p.Grace > 0:
+		return 0 // a reset or a silent call, say, of an agent that answers the next at once
+	case p.Grace > 0:
+		return min(max(p.Grace/gracePerPause, leastPause), tryAgain)
+	}
+	return min(tryAgain<<min(failed-1, 8), tryAtMost)
 }
 
 // NewPlatform makes a source of the discovery at the address.
@@ -40,38 +67,43 @@
 
 // Run asks while Follow is on.
 func (p *Platform) Run(ctx context.Context, say func(News)) {
-	dialer := &net.Dialer{Timeout: answerIn, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: p.AnswerIn(), KeepAlive: -1}
 	if p.From != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: p.From}
 	}
 	transport := &http.Transport{DialContext: dialer.DialContext,
 		MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHead}
 	defer transport.CloseIdleConnections()
-	version, pause := int64(-1), tryAgain
+	version, failed := int64(-1), 0
 	for p.pass(ctx) {
 		list, next, err := p.call(ctx, transport, version)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			if errors.Is(err, errList) {
-				version = -1 // what else it said is not known, so all is asked for
+			if errors.Is(err, errList) || p.Grace > 0 {
+				// What else it said is not known, or an agent that comes back counts anew: a watch from the old number would wait for
+				// a higher one. All is asked for, which is answered at once and costs nothing where the agent is on this machine.
+				version = -1
 			}
-			if p.once {
+			if failed++; p.once {
 				p.Follow(false)
 			}
 			say(News{Failed: err.Error()})
 			if !p.once {
-				sleep(ctx, pause)
-				pause = min(2*pause, tryAtMost)
+				sleep(ctx, p.pause(failed))
 			}
 			continue
 		}
-		pause = tryAgain
+		failed = 0
 		say(News{List: list})
-		if next == version {
+		switch {
+		case next == version:
 			// Were nothing new answered at once, again and again, the calls would fill the core.
 			sleep(ctx, nothingNew)
+		case next < version && list.Kind == policy.ListChanges:
+			next = -1 // changes since a number of another count: what came between is not known
+			sleep(ctx, nothingNew)
 		}
 		version = next
 	}
@@ -79,12 +111,24 @@
 
 // call asks for the whole list, or for what has changed since a version.
 func (p *Platform) call(ctx context.Context, by http.RoundTripper, since int64) (*List, int64, error) {
-	target, wait := "http://"+p.addr+"/catalog/members", answerIn
+	target, wait := "http://"+p.addr+"/catalog/members", p.AnswerIn()
 	if since >= 0 {
-		target, wait = fmt.Sprintf("%s?from=%d&hold_ms=%d", target, since, hold.Milliseconds()), answerIn+hold
+		target, wait = fmt.Sprintf("%s?from=%d&hold_ms=%d", target, since, hold.Milliseconds()), wait+hold
+	}
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	late := time.AfterFunc(wait, func() { end(errLate) })
+	defer late.Stop()
+	if p.Grace > 0 {
+		// Where a kept connection has ended, the transport makes the call again by itself. A watch made so waits for an agent that may have
+		// come back with lower numbers, or is silent: all is to be asked for instead.
+		sent := 0
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+			if sent++; sent > 1 {
+				end(errRepeat)
+			}
+		}})
 	}
-	ctx, end := context.WithTimeout(ctx, wait)
-	defer end()
 	call, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, 0, err
@@ -94,6 +138,7 @@
 		return nil, 0, err
 	}
 	defer answer.Body.Close()
+	late.Reset(p.AnswerIn()) // one that has begun must end, and is not given as long as a watch
 	if answer.StatusCode != http.StatusOK {
 		return nil, 0, fmt.Errorf("the answer cannot be used: status %d", answer.StatusCode)
 	}
@@ -115,6 +160,11 @@
 	return list, version, nil
 }
 
+var (
+	errLate   = errors.New("no answer in time")
+	errRepeat = errors.New("the connection had ended")
+)
+
 func sleep(ctx context.Context, span time.Duration) {
 	select {
 	case <-ctx.Done():
