A connection that comes up late carries nothing that is over

With cancel, and for a server that drains, it was sound. Checked beside it: a connection whose answer came after the list had moved its server was kept for the next push.

Lines at fault: proto/pushes.go, connected, which asked only whether the server leaves; park, the same; engine/terms.go, Stands, which held for agreed rules alone.

Now a server counts what makes its connections worthless, and a connection knows the count it was dialled at; a ticket that is settled is not sent; a repeat is judged again at the write, by the clock as it is then, also where the loop stood still between (engine/write_test.go). TestNothingReadEndsTheProcess makes its connection to the server as it stands, which is what it meant; it asserts what it did.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -94,6 +94,7 @@
 	Zone    policy.Zone
 	Started policy.Time
 	Leaving bool
+	Life    int          // counts what makes its connections worthless: that it leaves, starts anew, or moves to another address
 	Listed  bool         // the latest list names it
 	Said    roster.Entry // what that says of it
 	Parts   [MostFronts]any
@@ -499,6 +500,7 @@
 // retire has no connection to the server kept for later.
 func (e *Engine) retire(s *Server) {
 	s.Leaving = true
+	s.Life++
 	for _, f := range e.fronts {
 		f.Retire(s)
 	}
--- a/internal/engine/terms.go
+++ b/internal/engine/terms.go
@@ -126,8 +126,12 @@
 	}
 }
 
-// Stands tells whether a push that was decided on may be written now.
+// Stands tells whether a push that was decided on may be written now. A dial, or a loop that stood still, may have taken a ticket that is
+// sent again out of the window in which its repeat is dropped.
 func (e *Engine) Stands(now policy.Time, t *Ticket) bool {
+	if t.Pushes > 1 && !e.Module.Stands(e.Clock.Now(), t.Handle) {
+		return false
+	}
 	if e.terms == nil {
 		return true
 	}
--- /dev/null
+++ b/internal/engine/write_test.go
@@ -0,0 +1,46 @@
+package engine
+
+import (
+	"io"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"pepperlead/internal/roster"
+	"pepperlead/policy"
+)
+
+// A numbered ticket that may have run is sent again only within its window. A loop that stands still between the decision and the write takes
+// it out of that: it is judged again at the write, by the clock as it is then.
+func TestRepeatsAreJudgedAtTheWrite(t *testing.T) {
+	for _, k := range []struct {
+		ago  policy.Time // when its first push went out
+		want int
+	}{{200 * policy.Millisecond, 2}, {1500 * policy.Millisecond, 1}} {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		e := New(Post{Campaign: &policy.Campaign{Sidecars: 1, Weighted: true, FallMultiple: 3, MaxPushes: 3, Tick: policy.Millisecond,
+			Offerings: []policy.Offering{{Name: "a", Credit: 1, Quoted: 5 * policy.Second, CutOff: 9 * policy.Second,
+				Repeats: policy.Numbered, Window: policy.Second}}}}, log)
+		f := &frontless{}
+		e.Add(f)
+		now := e.Clock.Now()
+		then := now - k.ago
+		e.Apply(then, &roster.List{Kind: policy.ListFull, Entries: []roster.Entry{{Member: policy.Member{ID: 1, Weight: 1}, UID: "x"},
+			{Member: policy.Member{ID: 2, Weight: 1}, UID: "y"}}})
+		ticket := e.Take(0)
+		e.Admit(then, then, ticket, 0, policy.NoFranchise, "k", false, 9*policy.Second)
+		e.Round(then)
+		e.Ended(then+10*policy.Millisecond, ticket, policy.ConnBroke)
+		e.Tell(then + 10*policy.Millisecond) // within the window: pushed again, says the module
+		if ticket.Pushes != 2 || f.pushed != 1 {
+			t.Fatalf("%d pushes decided on, %d written", ticket.Pushes, f.pushed)
+		}
+		if e.Round(then + 10*policy.Millisecond); f.pushed != k.want {
+			t.Errorf("%d ms after the first push: %d written, want %d", k.ago/policy.Millisecond, f.pushed, k.want)
+		}
+		if e.Tell(now); k.want == 1 && (f.answers != 0 || len(e.steps) != 1) {
+			t.Errorf("not answered in place of it: %d steps", len(e.steps))
+		}
+	}
+}
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -39,7 +39,7 @@
 		s.Ended(now, of, policy.NotSent)
 		return
 	}
-	c := &state.Conn{Side: state.ToServer, Server: server, Ticket: t, Whole: &s.Tally.Written}
+	c := &state.Conn{Side: state.ToServer, Server: server, Life: to.Life, Ticket: t, Whole: &s.Tally.Written}
 	c.Timer.Do = func(now policy.Time) { s.serverDue(now, c) }
 	t.Push = c
 	s.conns.Add(c)
@@ -52,11 +52,12 @@
 	switch {
 	case c.Ticket == nil:
 		s.park(now, c) // its ticket did not wait for it
-	case c.Server.Of.Leaving:
-		// The server was ready when this was dialled and is not any more: it gets nothing new.
+	case c.Server.Of.Leaving || c.Life != c.Server.Of.Life:
+		// The server was ready when this was dialled and is not any more, or another process stands there: it gets nothing new.
 		s.endPush(now, c.Ticket, policy.NotConnected, false)
-	case !s.Stands(now, c.Ticket.Ticket):
-		// The rules have changed since: what was decided then may not be done now.
+	case c.Ticket.Settled || !s.Stands(now, c.Ticket.Ticket):
+		// The ticket has its answer, or its client has left; or the rules or the list have changed since, or the window in which it may
+		// be sent again has closed: what was decided then may not be done now.
 		s.endPush(now, c.Ticket, policy.NotSent, true)
 	default:
 		s.send(now, c.Ticket)
@@ -106,8 +107,8 @@
 // park keeps a connection for the next push to its server, but closes it well before the server would: what is
 // written as the server closes may have run or not.
 func (s *Sidecar) park(now policy.Time, c *state.Conn) {
-	if c.Server.Of.Leaving {
-		s.close(c)
+	if c.Server.Of.Leaving || c.Life != c.Server.Of.Life {
+		s.close(c) // an answer that came after the list: where it leads, nothing new goes, or another process stands
 		return
 	}
 	s.conns.Park(c, now)
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -1197,7 +1197,7 @@
 		server, _ := connect(state.ToServer)
 		client.Timer.Do = func(now policy.Time) { s.clientDue(now, client) }
 		for _, one := range s.Servers {
-			server.Server = s.part(one)
+			server.Server, server.Life = s.part(one), one.Life // dialled to it as it stands now
 			s.park(now, server)
 			break
 		}
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -41,6 +41,7 @@
 	In      *Buffer      // read and not yet used up
 	Ticket  *Ticket      // that it carries now
 	Server  *Server      // ToServer: whose
+	Life    int          // of the server, when this was dialled
 	Up      bool         // connected
 	Dead    bool         // closed, or about to be: nothing more is read or sent
 	Last    bool         // closes once all is written; what still comes is dropped
