A ticket whose client has left is not sent on, and what is cut off in part is told truthfully

A push of which the kernel had taken only a part went on where the settings allow no cancel, though its client had left. And a push that had gone out but for its last bytes was called never run, and only then closed: what waits goes out beside the loop, so those bytes could slip out between, and an at-most-once ticket run twice.

Checked and sound: nbio closes a client's connection at its end also where reading is held (poller_epoll.go, events of errors); a ticket that is queued or cools down is taken off at once.

Lines at fault: proto/link.go, fill, which told the bytes before it had looked for the end; clients.go, leaves, for uploads alone; pushes.go, TimedOut.

Now what was read is told once the next read has said whether its sender is still there; a push that no server has whole is ended with its client, whatever may be called off; it is closed first and judged then.

--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -51,7 +51,7 @@
 
 // fromClient takes the next request that is in whole. at: when its last byte came.
 func (s *Sidecar) fromClient(now, at policy.Time, c *state.Conn) {
-	for c.In != nil && c.Ticket == nil && !c.Last && !c.Dead && s.reads(now, c) {
+	for c.In != nil && c.Ticket == nil && !c.Last && !c.Dead && !c.Left.Load() && s.reads(now, c) {
 		if len(c.In.B) < c.Need && !s.buffers.Full() {
 			s.bodyDue(c)
 			return
@@ -420,8 +420,10 @@
 	c.Ticket, t.Client = nil, nil
 	s.tickets.Unmark(t)
 	s.ClientLeft(now, t.Ticket)
-	if t.Uploads && t.Push != nil {
-		s.endPush(now, t, policy.CalledOff, false) // what is missing of it never comes
+	if t.Push != nil && s.unwritten(t) {
+		// What is missing of its body never comes; and a push that no server has whole is none yet, so ending it is allowed also where
+		// pushes may not be called off.
+		s.endPush(now, t, policy.CalledOff, false)
 	}
 }
 
--- a/internal/proto/crossing_test.go
+++ b/internal/proto/crossing_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pepperlead/internal/roster"
+	"pepperlead/internal/state"
 	"pepperlead/policy"
 )
 
@@ -103,6 +104,86 @@
 	}
 }
 
+// A request and its sender's end stand in the kernel together, as where nobody accepted for a while: nobody waits for its answer, and it
+// is not sent on.
+func TestRequestThatComesWithItsEndIsNotSentOn(t *testing.T) {
+	for name, leave := range map[string]func(c *net.TCPConn){
+		"closed":      func(c *net.TCPConn) { c.Close() },
+		"half closed": func(c *net.TCPConn) { c.CloseWrite() },
+	} {
+		s, _ := still(t)
+		far, nb, conn := pair(t)
+		conn.Side, conn.Up = state.Client, true
+		s.conns.Add(conn)
+		fmt.Fprint(far, "GET /step/a HTTP/1.1\r\nHost: o\r\nX-Request-ID: 1\r\nX-Timeout: 1\r\n\r\n")
+		leave(far.(*net.TCPConn))
+		time.Sleep(20 * time.Millisecond) // for the kernel to have both at this end
+		s.sockets.read(nb)
+		now := s.Clock.Now()
+		for _, e := range s.sockets.take() {
+			s.happened(now, e)
+		}
+		s.Round(now)
+		if s.Counters.BytesIn == 0 || s.Counters.Tickets != 0 || s.Counters.Dials != 0 {
+			t.Errorf("%s: %d bytes read, %d tickets, %d dials", name, s.Counters.BytesIn, s.Counters.Tickets, s.Counters.Dials)
+		}
+	}
+}
+
+// slipping is a socket whose last bytes go out at the very moment at which it is closed.
+type slipping struct {
+	*sink
+	slips bool
+}
+
+func (k *slipping) Close() error {
+	if k.slips {
+		k.conn.Written.Store(k.conn.Queued)
+	}
+	return nil
+}
+
+// What has been written only in part never runs, unless the rest slips out just before the end of its connection. So is told whether a
+// push that is cut off at its time-out, or as its client leaves, may have run; and one that cannot is ended also where none may be called off.
+func TestPushCutOffAsItsLastBytesGoOut(t *testing.T) {
+	for _, k := range []struct {
+		slips, left bool
+		want        policy.Outcome
+		none        bool
+	}{{slips: false, want: policy.NotConnected}, {slips: true, want: policy.TimedOut}, {left: true, want: policy.CalledOff},
+		{left: true, slips: true, none: true}} {
+		s, connect := still(t)
+		s.Engine.Campaign.MayCancel = false
+		client, _ := connect(state.Client)
+		server, plain := connect(state.ToServer)
+		for _, one := range s.Servers {
+			server.Server = s.part(one)
+			s.park(1, server)
+		}
+		buf := s.buffers.Get(state.Small)
+		buf.B = append(buf.B, "GET /step/a HTTP/1.1\r\nHost: o\r\nX-Request-ID: 1\r\nX-Timeout: 1\r\n\r\n"...)
+		client.In = buf
+		now := s.Clock.Now()
+		s.fromClient(now, now, client)
+		s.Round(now)
+		ticket := server.Ticket
+		if ticket == nil {
+			t.Fatal("not pushed")
+		}
+		server.Link = &slipping{plain, k.slips}
+		server.Queued++ // the kernel has all but one byte
+		if k.left {
+			s.clientLeft(now, client)
+		} else {
+			s.TimedOut(now, ticket.Ticket)
+		}
+		s.Tell(now)
+		if n := s.Counters.Outcomes[k.want]; !k.none && n != 1 || k.none && ticket.Push == nil {
+			t.Errorf("%+v: outcomes %v", k, s.Counters.Outcomes)
+		}
+	}
+}
+
 // held is discovery that says nothing before it is let go.
 func held(t *testing.T, told string) (addr string, release chan struct{}) {
 	release = make(chan struct{})
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -230,6 +230,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.held.Store(false)
+	var got *state.Buffer // read and not told yet: whether its sender has left shows only behind it
+	defer func() {
+		if got != nil {
+			s.post(event{what: arrived, conn: conn, buf: got})
+		}
+	}()
 	for size := state.Small; ; {
 		unread := conn.Unread.Load()
 		if unread > state.Small && conn.Side == state.Client && s.buffers.Flooded() {
@@ -250,13 +256,19 @@
 		buf := s.buffers.Get(size)
 		if !l.read(conn, buf) {
 			s.buffers.Put(buf)
+			if l.gone && conn.Side == state.Client {
+				conn.Left.Store(true) // before its last request is told: nobody waits for the answer
+			}
 			return
 		}
+		if got != nil {
+			s.post(event{what: arrived, conn: conn, buf: got})
+		}
+		got = buf
 		conn.Ahead.Add(int64(cap(buf.B)))
 		if size = state.Small; len(buf.B) == cap(buf.B) {
 			size = state.Large // there is much
 		}
-		s.post(event{what: arrived, conn: conn, buf: buf}) // it is the loop's from here on
 	}
 }
 
@@ -382,14 +394,16 @@
 	}
 }
 
-// Close ends the socket both ways; the poller hears of it and closes.
+// Close ends the socket both ways; the poller hears of it and closes. After it no byte more goes out, and Written tells of all that did.
 func (l *link) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.gone {
 		return nil
 	}
-	return syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
+	err := syscall.Shutdown(l.fd, syscall.SHUT_RDWR)
+	l.nb.Write(nil) // waits for what nbio is writing just now
+	return err
 }
 
 // connect opens connections that leave from that address; nil: from whichever the kernel picks.
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -176,12 +176,26 @@
 func (s *Sidecar) TimedOut(now policy.Time, of *engine.Ticket) {
 	t := state.Of(of)
 	o := policy.TimedOut
-	if t.Push == nil || !t.Push.Up || !t.Push.Flushed() || t.Uploads {
+	if s.unwritten(t) {
 		o = policy.NotConnected
 	}
 	s.endPush(now, t, o, false)
 }
 
+// unwritten ends the connection of a push that has not gone out whole, and tells whether it never will. What waits to be written goes out
+// beside the loop: looked at first and closed then, its last byte could slip through between, and what has run be sent again.
+func (s *Sidecar) unwritten(t *state.Ticket) bool {
+	c := t.Push
+	if c == nil || !c.Up || t.Uploads {
+		return true
+	}
+	if c.Flushed() {
+		return false
+	}
+	c.Link.Close()
+	return !c.Flushed()
+}
+
 // CallOff ends a push that nobody waits for any more.
 func (s *Sidecar) CallOff(now policy.Time, of *engine.Ticket) {
 	if t := state.Of(of); t.Push != nil && !t.Streams {
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -44,6 +44,7 @@
 	Life    int          // of the server, when this was dialled
 	Up      bool         // connected
 	Dead    bool         // closed, or about to be: nothing more is read or sent
+	Left    atomic.Bool  // the other end has closed behind what has come of it; its end will be told
 	Last    bool         // closes once all is written; what still comes is dropped
 	Waits   bool         // with its next request for the last answer to be taken
 	Asked   bool         // the client has been asked for the body that it waits with
