At the end the queue of the kernel is looked at before the listener closes

Seen, with the accepting side held back until the time for new clients was over (as a starved process is, or one without room): the process ended while a client stood in the kernel's queue with its request, which counts as taken: reset.

Line at fault: proto/leave.go, Left, which looked at what the loop knows. Now the listener is asked as well; the last answer's time bounds it. Where the listener is inherited nothing changes: what this process does not take from the queue is another's.

--- a/internal/proto/crossing_test.go
+++ b/internal/proto/crossing_test.go
@@ -184,6 +184,28 @@
 	}
 }
 
+// At the end one still waits in the kernel to be accepted, with its request: it counts as taken, and is answered.
+func TestWhoWaitsToBeAcceptedAtTheEndIsAnswered(t *testing.T) {
+	server := newStandIn(t)
+	r, _ := run(t, func(p *Post) { p.Leave = 2 * policy.Second }, server.Addr().String())
+	first := r.client()
+	first.send("step/echo", "a", "")
+	first.receive()
+	most := r.sockets.most.Swap(0) // whoever accepts takes one more, and then has no room
+	r.client()
+	r.until("the last with room", func() bool { return r.conns.Count(state.Client) == 2 })
+	waits := r.client()
+	waits.send("step/echo", "b", "")
+	r.stop <- syscall.SIGTERM
+	time.Sleep(time.Duration(r.post.Accept+straggle) + 100*time.Millisecond)
+	r.sockets.most.Store(most)
+	r.sockets.roomAgain()
+	if answer, got := waits.receive(); answer.StatusCode != 200 || got != "b" || !answer.Close {
+		t.Errorf("%d %q, closes %v", answer.StatusCode, got, answer.Close)
+	}
+	r.end()
+}
+
 // held is discovery that says nothing before it is let go.
 func held(t *testing.T, told string) (addr string, release chan struct{}) {
 	release = make(chan struct{})
--- a/internal/proto/leave.go
+++ b/internal/proto/leave.go
@@ -37,6 +37,10 @@
 	}
 	// One may have been taken from the queue and not have come to the loop yet: its request is this process's to answer.
 	waiting := s.post.Inherited > 0 && !s.sockets.gate.ended.Load()
+	if s.post.Inherited == 0 && s.sockets.gate.queued() {
+		// It was let in by the kernel, and what it asks counts as taken. Whoever accepts may have stood still, or had no room till now.
+		waiting = true
+	}
 	for c := range s.conns.Open {
 		if c.Side == state.Client && !c.Dead {
 			stays := s.post.Inherited > 0 && now-c.Since < lookedFor && now < leaveBy // its next answer ends it
--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -82,6 +82,24 @@
 	return g.Listener.Accept()
 }
 
+// queued tells whether somebody waits in the kernel to be accepted.
+func (g *gate) queued() (is bool) {
+	l, ok := g.Listener.(*net.TCPListener)
+	if !ok {
+		return false
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		of := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(of, 0)
+		is = err == nil && n > 0 && of[0].Revents == unix.POLLIN
+	})
+	return is
+}
+
 // Close leaves the queue; a listener that others have too is not shut down by it.
 func (g *gate) Close() error {
 	g.once.Do(func() { close(g.over) })
