Every fault of a configuration is told, a line each; SIGHUP at the very end holds nothing up

Seen: of seven faults in one file the first was told, and the seed's and the limits' lines said neither what was found nor what is allowed. And a new configuration read while the loop ended waited for ever for somebody to take it. Lines at fault: campaign.Values.fail, which kept the first; daemon.platform, which returned at each; daemon.reread, which handed over on a channel without a way out. Each of the two tests failed before. After SIGHUP it stays one line of the log, and the old settings.

--- a/internal/campaign/campaign.go
+++ b/internal/campaign/campaign.go
@@ -3,6 +3,7 @@
 package campaign
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -11,16 +12,22 @@
 	"pepperlead/policy"
 )
 
-// Values gives what stands under each path, and keeps the first thing that was wrong.
+// Values gives what stands under each path, and keeps all that was wrong, a line each.
 type Values struct {
-	Of  map[string]string
-	Err error
+	Of     map[string]string
+	Err    error
+	failed map[string]bool // paths of which that is known
 }
 
 func (p *Values) fail(name, found, allowed string) {
-	if p.Err == nil {
-		p.Err = fmt.Errorf("%s: found %s, allowed %s", name, found, allowed)
+	if p.failed[name] {
+		return
 	}
+	if p.failed == nil {
+		p.failed = map[string]bool{}
+	}
+	p.failed[name] = true
+	p.Err = errors.Join(p.Err, fmt.Errorf("%s: found %s, allowed %s", name, found, allowed))
 }
 
 func (p *Values) Text(name string) string {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,8 @@
 	// Stall is after how long without a turn a loop looks at its list again before it decides.
 	Stall = 400 * policy.Millisecond
 
+	leastSockets, leastMemory = 48, 24 // descriptors and MB without which nothing can be served
+
 	watchDescriptors = 6 // for word of changes, and for the file being read or written
 )
 
@@ -213,14 +215,19 @@
 	}
 	post.Listen, post.Discovery = first("GW_LISTEN", told.Listen), first("GW_DISCOVERY", told.Discovery)
 	post.inFile = told.Discovery
+	var wrong error // all that is, a line each
+	fault := func(form string, of ...any) { wrong = errors.Join(wrong, fmt.Errorf(form, of...)) }
 	if post.Listen == "" || post.Discovery == "" {
-		return post, fmt.Errorf("%s: listen or discovery is missing", path)
+		fault("listen or discovery: found nothing, allowed an address each")
 	}
 	if post.Seed, err = strconv.ParseUint(told.Seed, 16, 64); err != nil {
-		return post, fmt.Errorf("%s: seed: %q is not a hexadecimal number of 64 bits", path, told.Seed)
+		fault("seed: found %q, allowed a hexadecimal number of 64 bits", told.Seed)
+	}
+	if told.Limits.Sockets < leastSockets {
+		fault("limits.sockets: found %d, allowed a number from %d up", told.Limits.Sockets, leastSockets)
 	}
-	if told.Limits.Sockets < 48 || !(told.Limits.Memory >= 24) {
-		return post, fmt.Errorf("%s: limits: at least 48 sockets and 24 MB are needed", path)
+	if !(told.Limits.Memory >= leastMemory) {
+		fault("limits.memory_mb: found %v, allowed a number from %d up", told.Limits.Memory, leastMemory)
 	}
 	values := &campaign.Values{Of: map[string]string{}}
 	if err := flatten(values.Of, "", told.Settings); err != nil {
@@ -239,7 +246,7 @@
 	post.Known = told.Known
 	post.Name = first("GW_NAME", told.Name)
 	if err := post.operators(told.Admin, env); err != nil {
-		return post, err
+		fault("%w", err)
 	}
 	at := roster.NewPlatform(post.Discovery, values.Of["membership_mode"] == "on_request")
 	if _, told := values.Of["rules.drain_grace_s"]; told && values.Of["membership_mode"] == "pushed" {
@@ -249,9 +256,9 @@
 	}
 	post.Source = at
 	if post.Campaign, err = campaign.Read(values); err != nil {
-		return post, fmt.Errorf("%s: settings: %w", path, err)
+		fault("settings: %s", strings.ReplaceAll(err.Error(), "\n", "\nsettings: "))
 	}
-	return post, nil
+	return post, wrong
 }
 
 // flatten gives each value its path, as the simulator's wire does.
@@ -328,7 +335,6 @@
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	fresh := make(chan proto.Post)
-	go reread(path, o, again, fresh, log)
 	if record != "" && o.Agree {
 		return errors.New("record: a trace has one set of offerings, and with peers.agree these come and go")
 	}
@@ -357,6 +363,7 @@
 	}
 	o.Learn = func() { of.learn() }
 	s := proto.New(o.Post, log)
+	go reread(path, o, again, fresh, s.Over(), log)
 	of.Sidecar = s
 	if of.kin != nil {
 		if err := of.begin(); err != nil {
@@ -407,7 +414,7 @@
 
 // reread reads the file anew at each signal and hands on what can be served. Reading takes its time, so the loop is not held
 // up by it.
-func reread(path string, now Orders, again <-chan os.Signal, fresh chan<- proto.Post, log *logrus.Logger) {
+func reread(path string, now Orders, again <-chan os.Signal, fresh chan<- proto.Post, over <-chan struct{}, log *logrus.Logger) {
 	for range again {
 		next, err := Read(path, func(name string) string {
 			if name == "GW_DISCOVERY" {
@@ -430,6 +437,10 @@
 		}
 		next.Latency, next.Record = now.Latency, now.Record
 		next.Memory = next.Memory * bufferPercent / 100
-		fresh <- next.Post
+		select {
+		case fresh <- next.Post:
+		case <-over: // it was told to end as well, and has
+			return
+		}
 	}
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -74,6 +75,47 @@
 	}
 }
 
+// All that is wrong is told at once, a line each, with the line of the file, what was found and what is allowed.
+func TestEveryFaultOfAConfigurationIsTold(t *testing.T) {
+	text := strings.NewReplacer(`"8c1f30d27a5be964"`, `"xx"`, "1024", "8", `"cancel":true`, `"cancel":"maybe"`, `"max_pushes":3,`, "",
+		`"quoted_time_s":1.5,"cut_off_s":4.0`, `"quoted_time_s":-1,"cut_off_s":"soon"`, `"retryable"`, `"odd"`).Replace(told)
+	path := write(t, text)
+	_, err := Read(path, func(string) string { return "" })
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{":1: seed: found \"xx\", allowed", ":2: limits.sockets: found 8, allowed", ":4: settings: limits.cancel: found maybe, allowed true or false",
+		":4: settings: limits.max_pushes: found nothing, allowed", ":8: settings: offerings.1.quoted_time_s: found -1, allowed",
+		":8: settings: offerings.1.cut_off_s: found soon, allowed", ":7: settings: offerings.0.idempotency: found odd, allowed retryable"} {
+		if strings.Count(err.Error(), path+want) != 1 {
+			t.Errorf("not told, or twice: %s", want)
+		}
+	}
+	if n := strings.Count(err.Error(), "\n") + 1; n != 7 {
+		t.Errorf("%d lines for 7 faults:\n%v", n, err)
+	}
+}
+
+// SIGHUP may come as the process ends, when nobody takes a new configuration any more.
+func TestNewConfigurationAtTheEndHoldsNothingUp(t *testing.T) {
+	path := write(t, told)
+	post, err := Read(path, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	again, over, ended := make(chan os.Signal), make(chan struct{}), make(chan struct{})
+	go func() { reread(path, post, again, make(chan proto.Post), over, log); close(ended) }()
+	again <- syscall.SIGHUP
+	close(over)
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("it still waits for somebody to take the new configuration")
+	}
+}
+
 // The file is read anew at a signal; one that cannot be served is a line in the log, and the next good one counts again.
 func TestFileIsReadAgain(t *testing.T) {
 	path := write(t, told)
@@ -87,7 +129,7 @@
 	log.SetOutput(lines)
 	again, fresh := make(chan os.Signal), make(chan proto.Post)
 	ended := make(chan bool)
-	go func() { reread(path, post, again, fresh, log); close(ended) }()
+	go func() { reread(path, post, again, fresh, nil, log); close(ended) }()
 	for _, k := range []struct{ in, discovery string }{{told, "127.2.0.9:1"}, {"{", ""},
 		{strings.Replace(told, "127.2.0.1", "127.2.0.2", 1), "127.2.0.2:8500"}, {strings.Replace(told, `"seed"`, `"s"`, 1), ""},
 		{told, "127.2.0.1:8500"}} {
--- a/internal/daemon/lines.go
+++ b/internal/daemon/lines.go
@@ -57,9 +57,16 @@
 	return nil, fmt.Errorf("%s:%d: document: found %v, allowed one JSON object", file, line(at), err)
 }
 
-// placed gives a fault of the platform's settings its line: that of the key, or of the nearest object above it.
+// placed gives each fault of the platform's settings its line: that of the key, or of the nearest object above it.
 func placed(file string, err error, lines map[string]int) error {
-	what := strings.TrimPrefix(err.Error(), file+": ")
+	var all []error
+	for one := range strings.SplitSeq(err.Error(), "\n") {
+		all = append(all, placedOne(file, strings.TrimPrefix(one, file+": "), lines))
+	}
+	return errors.Join(all...)
+}
+
+func placedOne(file, what string, lines map[string]int) error {
 	path := what
 	if rest, is := strings.CutPrefix(what, "settings: "); is {
 		path = "settings." + rest
--- a/internal/simwire/start.go
+++ b/internal/simwire/start.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"strings"
 
 	"pepperlead/internal/campaign"
 	"pepperlead/policy"
@@ -26,7 +28,7 @@
 	}
 	c, err := campaign.Read(p)
 	if err != nil {
-		return err
+		return errors.New(strings.ReplaceAll(err.Error(), "\n", "; ")) // an answer on the wire is a line
 	}
 	i := &instance{name: bytes.Clone(name), out: &a.out, handles: map[ticketID]policy.Handle{},
 		names: map[string]int32{}, houses: map[string]int32{}, campaign: c}
