A connection rests 20 ms behind each answer; a push waits for that rather than open another

Seen: a server that sends a second answer 15 ms behind the first had it taken for the next ticket's, on the first try (TestLateCopiesReachNobody, which failed before: 200 "late0", want "echo0"). The 5 ms held only where there were other connections. Looked at in a log of answers (a trial): no field of an answer's head says to which request it belongs, so nothing but time tells them apart. Line at fault: state/conns.go, Take.

Tried first: open another connection in its place. Now a push waits until the connection that stands idle for longest has rested, once, if that is at most a thirty-second of its quoted time; else it opens another.

Where no descriptor is left the longest idle connection is closed for a new one, as before. Tests: the ones that count connections of requests one after another, and allocations, leave the rest between them, and still ask for one connection and none.

--- a/internal/proto/clients.go
+++ b/internal/proto/clients.go
@@ -420,7 +420,7 @@
 	c.Ticket, t.Client = nil, nil
 	s.tickets.Unmark(t)
 	s.ClientLeft(now, t.Ticket)
-	if t.Push != nil && s.unwritten(t) {
+	if (t.Push != nil || t.Rest.On()) && s.unwritten(t) {
 		// What is missing of its body never comes; and a push that no server has whole is none yet, so ending it is allowed also where
 		// pushes may not be called off.
 		s.endPush(now, t, policy.CalledOff, false)
--- a/internal/proto/crossing_test.go
+++ b/internal/proto/crossing_test.go
@@ -261,3 +261,19 @@
 		r.end()
 	}
 }
+
+// A second answer comes milliseconds behind the first, when the next ticket may have been written already: it is nobody's.
+func TestLateCopiesReachNobody(t *testing.T) {
+	server := newStandIn(t)
+	r, _ := run(t, nil, server.Addr().String())
+	c := r.client()
+	for i := range 20 {
+		for _, act := range []string{"late", "echo"} {
+			body := fmt.Sprint(act, i)
+			c.send("step/"+act, body, "")
+			if answer, got := c.receive(); answer.StatusCode != 200 || got != body {
+				t.Fatalf("%d %q, want %q", answer.StatusCode, got, body)
+			}
+		}
+	}
+}
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -8,9 +8,14 @@
 	"pepperlead/policy"
 )
 
-// restFor is how long a connection stands idle before it is used again where there are others: what a server may send behind
-// an answer, a copy say, shows in that time.
-const restFor = 5 * policy.Millisecond
+// restFor is how long a connection stands idle before it is used again: what a server may send behind an answer, a copy say, some
+// milliseconds late, shows in that time. Nothing in an answer says to which request it belongs, so a copy that comes once the next request
+// is written would be taken for its answer.
+const restFor = 20 * policy.Millisecond
+
+// aRest is the part of its quoted time that a push waits for a connection to have rested, rather than have another opened: that costs the
+// server work, and this request a handshake.
+const aRest = 32
 
 // Push sends a ticket to a server, on a connection that stands idle or on a new one.
 func (s *Sidecar) Push(now policy.Time, of *engine.Ticket, to *engine.Server) {
@@ -34,6 +39,9 @@
 		s.send(now, t)
 		return
 	}
+	if s.awaits(now, t, server) {
+		return
+	}
 	if s.conns.Count(state.ToServer) >= s.conns.Most[state.ToServer] && !s.spare(state.ToServer, now, now) {
 		// Every descriptor carries a push: nothing was sent, and that is no fault of the server.
 		s.Ended(now, of, policy.NotSent)
@@ -47,6 +55,38 @@
 	s.sockets.dial(c, to.Addr, s.post.ConnectIn)
 }
 
+// awaits has a push wait for the connection that will have rested next, once, if that is soon.
+func (s *Sidecar) awaits(now policy.Time, t *state.Ticket, server *state.Server) bool {
+	if t.Waited || t.Uploads || server.Awaited >= len(server.Idle) {
+		t.Waited = false
+		return false
+	}
+	in := server.Idle[server.Awaited].Since + restFor - now
+	if in > s.post.Campaign.Offerings[t.Offering].Quoted/aRest {
+		return false
+	}
+	if t.Rest.Do == nil {
+		t.Rest.Do = func(now policy.Time) { s.rested(now, t) }
+	}
+	t.Waited, t.To = true, server.Of
+	server.Awaited++
+	s.Timers.Set(&t.Rest, now+in)
+	return true
+}
+
+// rested has a push that waited go on, unless it may not be made any more.
+func (s *Sidecar) rested(now policy.Time, t *state.Ticket) {
+	s.part(t.To).Awaited--
+	switch {
+	case t.To.Leaving:
+		s.endPush(now, t, policy.NotConnected, false)
+	case t.Settled || !s.Stands(now, t.Ticket):
+		s.endPush(now, t, policy.NotSent, false)
+	default:
+		s.Push(now, t.Ticket, t.To)
+	}
+}
+
 // connected is told that a connection to a server is up.
 func (s *Sidecar) connected(now policy.Time, c *state.Conn) {
 	switch {
@@ -77,6 +117,7 @@
 	if t.Uploads {
 		size, wait = t.Size, t.Left
 	}
+	t.Push.Used = true
 	s.scratch = AppendPush(s.scratch[:0], t.Method, t.Target, t.Head, size, wait)
 	if !t.Uploads && len(t.Body) <= state.Small && t.More == nil {
 		s.scratch = append(s.scratch, t.Body...)
@@ -198,7 +239,7 @@
 
 // CallOff ends a push that nobody waits for any more.
 func (s *Sidecar) CallOff(now policy.Time, of *engine.Ticket) {
-	if t := state.Of(of); t.Push != nil && !t.Streams {
+	if t := state.Of(of); (t.Push != nil || t.Rest.On()) && !t.Streams {
 		s.endPush(now, t, policy.CalledOff, false)
 	}
 }
@@ -211,6 +252,10 @@
 
 // detach takes the ticket off its connection to a server, which is kept or closed.
 func (s *Sidecar) detach(at policy.Time, t *state.Ticket, stays bool) {
+	if t.Waited = false; t.Rest.On() {
+		s.Timers.Stop(&t.Rest)
+		s.part(t.To).Awaited--
+	}
 	c := t.Push
 	if c == nil {
 		return
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -124,6 +124,10 @@
 		case "copy":
 			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 			io.WriteString(c, answer+answer)
+		case "late": // a second copy that comes when the next request may have been written
+			whole("200 OK", "")
+			time.Sleep(15 * time.Millisecond)
+			whole("200 OK", "")
 		case "garbage":
 			fmt.Fprint(c, "\x00\x01 what\r\n\r\n")
 		case "silent":
@@ -314,6 +318,7 @@
 	c := r.client()
 	for _, size := range []int{0, 1, 2000, 5000, mostBody} {
 		for _, act := range []string{"echo", "slow"} {
+			time.Sleep(time.Duration(restFor + 5*policy.Millisecond)) // for what may still come behind the last answer
 			body := strings.Repeat("b", size)
 			id := c.send("step/"+act, body, "X-Priority-Class: step\r\nX-Attrs: a=1\r\n")
 			if answer, got := c.receive(); answer.StatusCode != 200 || got != body || answer.Close {
@@ -1046,7 +1051,7 @@
 	answer := []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	now := s.Clock.Now()
 	once := func() {
-		now += 20 * policy.Millisecond
+		now += restFor + 5*policy.Millisecond
 		buf := s.buffers.Get(state.Small)
 		buf.B = append(buf.B, request...)
 		client.In = s.buffers.Join(client.In, buf)
@@ -1080,7 +1085,7 @@
 	for i := range 4 {
 		c, k := connect(state.ToServer)
 		for _, one := range s.Servers {
-			c.Server = s.part(one)
+			c.Server, c.Used = s.part(one), true
 		}
 		s.park(now+policy.Time(i)*policy.Millisecond, c)
 		idle, all = append(idle, k), append(all, c)
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -96,8 +96,9 @@
 
 // Server holds the connections to one server.
 type Server struct {
-	Of   *engine.Server
-	Idle []*Conn // last used last
+	Of      *engine.Server
+	Idle    []*Conn // last used last
+	Awaited int     // of these, for how many a push waits until they have rested
 }
 
 // Conns counts connections against the descriptors allowed, and holds those to servers that stand idle.
@@ -193,14 +194,12 @@
 }
 
 // Take takes a connection to the server from those that stand idle, nil if there is none: the last used, so that the others
-// grow old and are closed, but before one that has stood idle since rested, as more may be on its way there behind an answer.
+// grow old and are closed, of those that have stood idle since rested or have carried nothing yet: on others more may be on its way behind
+// an answer.
 func (k *Conns) Take(server *Server, rested policy.Time) *Conn {
 	at := len(server.Idle) - 1
-	for i := at; i >= 0; i-- {
-		if server.Idle[i].Since <= rested {
-			at = i
-			break
-		}
+	for at >= 0 && server.Idle[at].Used && server.Idle[at].Since > rested {
+		at--
 	}
 	if at < 0 {
 		return nil
--- a/internal/state/tickets.go
+++ b/internal/state/tickets.go
@@ -18,6 +18,9 @@
 	Last    bool // the client wants its connection closed after the answer
 
 	Push       *Conn
+	Rest       engine.Timer // on while its push waits for a connection to have rested
+	To         *engine.Server
+	Waited     bool    // it has, for this push
 	Answer     *Buffer // holds the two below
 	Status     int     // of the server's answer
 	AnswerHead []byte
@@ -70,5 +73,5 @@
 	p.Put(t.Request)
 	p.Put(t.Answer)
 	p.Put(t.More)
-	*t = Ticket{Ticket: t.Ticket}
+	*t = Ticket{Ticket: t.Ticket, Rest: engine.Timer{Do: t.Rest.Do}}
 }
