The pace is cut by what an unloaded answer leaves of the quoted time

Answers there take 0.3 to 0.65 of the quoted time without any load, and where late answers earn nothing the pace is cut from 0.5 on. Line at fault: policy.regulate, which took an answer's own time for lateness.

Now the pace is cut, where a connection carries one push, once half of what an unloaded answer leaves is used, and never below the 0.5 and 0.75 of before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -164,8 +164,7 @@
 			b.table[i], b.order[i] = -1, int32(i)
 			loose = append(loose, int32(i))
 		}
-		layout := newChance(layoutSeed)
-		for i := slots - 1; i > 0; i-- {
+		for i, layout := slots-1, newChance(layoutSeed); i > 0; i-- {
 			j := int(uint64(layout.next()) * uint64(i+1) >> 32)
 			b.order[i], b.order[j] = b.order[j], b.order[i]
 		}
@@ -701,16 +700,18 @@
 	}
 	// What was late is forgotten with time too: held down to a push in two seconds, ten of them outlast any jam.
 	b.late += max(0.1, min(0.5, float64(now-b.heardAt)/float64(4*quoted))) * (late - b.late)
-	b.heardAt = now
-	b.inUse += 0.1 * (float64(b.out-b.idle+1) - b.inUse)
-	mean := b.late
+	b.heardAt, b.inUse = now, b.inUse+0.1*(float64(b.out-b.idle+1)-b.inUse)
+	mean, tooLate := b.late, b.tooLate
+	if b.campaign.Streams <= 1 { // half of what an unloaded answer leaves: some take long by themselves
+		tooLate = max(tooLate, (1+b.calm)/2)
+	}
 	if b.meanHeld > 0 && now-b.listAt < listFresh {
 		mean = min(mean, b.expected()) // a few late ones mean nothing while little is held
 	}
-	if mean > b.tooLate && now-b.pacedAt > quoted/2 {
-		b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, b.tooLate/mean))
-	} else if mean < b.tooLate {
-		b.pace *= 1 + paceGrowth*(1-mean/b.tooLate)*min(1, late/b.pace)
+	if mean > tooLate && now-b.pacedAt > quoted/2 {
+		b.pacedAt, b.pace = now, max(b.least(), min(b.pace, b.inUse)*max(0.5, tooLate/mean))
+	} else if mean < tooLate {
+		b.pace *= 1 + paceGrowth*(1-mean/tooLate)*min(1, late/b.pace)
 		b.pace = min(b.pace, max(2, paceSpare*b.inUse, paceFree*b.least()))
 	}
 	b.resumeAt = now + Time(float64(spent)*max(0, 1/b.pace-1))
@@ -738,8 +739,7 @@
 	// Where a sidecar hears little of each server, three failures in a row, or two seconds, mean nothing.
 	need, skip, each := inRow, skipFirst, b.done.now(now)/float64(len(b.byID))
 	if b.late < 0.5 && b.recentAt > heatPrior || s.held > b.meanHeld {
-		need = 1 + int((inRow-1)*min(1, each))
-		skip = max(skip, Time(float64(Second)/max(each, 0.01)))
+		need, skip = 1+int((inRow-1)*min(1, each)), max(skip, Time(float64(Second)/max(each, 0.01)))
 	}
 	if o == NotConnected && b.campaign.Streams > 1 {
 		need = 1 // where connections last, one that fails tells more than a push
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -340,6 +340,23 @@
 	}
 }
 
+// jhb-vouchers: where work alone takes a good part of the quoted time, and late answers earn nothing, the pace fell to a push or two though no
+// server was short of room. What an unloaded answer takes is no lateness; pools, which see more of each server, stay as they were.
+func TestPaceLeavesLongWorkItsTime(t *testing.T) {
+	for streams, cut := range map[int]bool{1: false, 100: true} {
+		b, q := started(fleet(20, "a"))
+		b.campaign.Sidecars, b.campaign.Streams = 100, streams
+		quoted := b.campaign.Offerings[0].Quoted
+		b.tooLate = paceLost
+		for i := range 400 {
+			push(b, q, Time(i+2)*Second, fmt.Sprint(i), Honoured, quoted*Time(52+6*(i%2))/100)
+		}
+		if b.late < paceLost || b.late > 0.62 || (b.pace < 1) != cut {
+			t.Errorf("streams %d: pace %.2f at a mean of %.2f of the quoted time, unloaded %.2f", streams, b.pace, b.late, b.calm)
+		}
+	}
+}
+
 // oslo-skript at 700 sidecars: budgets from zero gave a cold server nothing for long, then all at once.
 func TestManySidecarsKeepTheColdBudget(t *testing.T) {
 	const sidecars, start = 400, 31 * Second
