A reset ends no answer: the link keeps how its connection ended

At fault: link.read took a reset and an end for the same (gone = err != EAGAIN), OnClose has nothing to tell them by, and Sidecar.broke read any end as the end of the answer (CutAnswer(..., over=true), endStream for untilEnd).

Changed: Conn.EOF is set only where a read saw an orderly end and no read or write had failed before (the kernel tells a reset once; the next read looks like an end). Held: the attempt has ended as reset and the module decides. Passed on: the client sees a part; one of HTTP/1.0 that was told neither length nor chunks gets a reset (no linger, reading side shut, closed by the poller).

--- a/internal/proto/link.go
+++ b/internal/proto/link.go
@@ -294,14 +294,15 @@
 // ended: closed from elsewhere it could be a new connection's by the time the poller comes to what it had to tell of the
 // old one, and that new one would be closed in its place.
 type link struct {
-	nb   *nbio.Conn
-	fd   int
-	mu   sync.Mutex
-	held atomic.Bool // more may stand in the socket than has been read
-	gone bool        // ended: the descriptor may be another's at any moment
-	cut  bool        // what still comes is not read
-	hush bool        // it is read and thrown away
-	left int         // so many bytes of it at most
+	nb     *nbio.Conn
+	fd     int
+	mu     sync.Mutex
+	held   atomic.Bool // more may stand in the socket than has been read
+	gone   bool        // ended: the descriptor may be another's at any moment
+	failed bool        // a read or a write has
+	cut    bool        // what still comes is not read
+	hush   bool        // it is read and thrown away
+	left   int         // so many bytes of it at most
 }
 
 func newLink(c *nbio.Conn) *link {
@@ -331,8 +332,15 @@
 			conn.Unread.Add(int64(n))
 			return true
 		case err == syscall.EINTR:
+		case n == 0 && err == nil:
+			// The socket tells of a reset once, to a write or a read: whatever is read after that looks like an orderly end.
+			conn.EOF.Store(!l.failed)
+			l.gone = true
+			return false
+		case err == syscall.EAGAIN:
+			return false
 		default:
-			l.gone = l.gone || err != syscall.EAGAIN
+			l.gone, l.failed = true, true
 			return false
 		}
 	}
@@ -397,9 +405,13 @@
 			conn.Took(n) // the loop itself looks what it waits for
 			b = b[n:]
 		}
-		if len(b) == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR {
+		if err != nil && err != syscall.EAGAIN && err != syscall.EINTR {
+			l.failed = true
 			return n, err
 		}
+		if len(b) == 0 {
+			return n, nil
+		}
 	}
 	return l.nb.Write(b)
 }
@@ -424,6 +436,19 @@
 	return err
 }
 
+// Reset ends the socket without an end of its stream: where neither length nor chunks tell a part from the whole, nothing else does. Its
+// reading side is shut, of which the poller hears; when that closes it, the kernel sends a reset, as it is told not to linger.
+func (l *link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.gone {
+		return
+	}
+	l.cut = true
+	unix.SetsockoptLinger(l.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	syscall.Shutdown(l.fd, syscall.SHUT_RD)
+}
+
 // connect opens connections that leave from that address; nil: from whichever the kernel picks.
 func connect(from net.IP) func(addr string, within policy.Time) (net.Conn, error) {
 	var leave net.Addr
--- a/internal/proto/pushes.go
+++ b/internal/proto/pushes.go
@@ -190,8 +190,9 @@
 	if t == nil {
 		return
 	}
+	over := c.EOF.Load() // a reset ends no answer
 	if t.Streams {
-		if c.Frame.Kind == untilEnd {
+		if over && c.Frame.Kind == untilEnd {
 			s.endStream(s.Clock.Now(), t, false)
 		} else {
 			s.breakStream(at, t)
@@ -203,7 +204,7 @@
 		return
 	}
 	if c.In != nil {
-		if n, status, head, body, _, ok := CutAnswer(c.In.B, true, t.Bodiless, mostBody); ok && n > 0 {
+		if n, status, head, body, _, ok := CutAnswer(c.In.B, over, t.Bodiless, mostBody); ok && n > 0 {
 			s.take(t, c, status, head, body)
 			s.endPush(at, t, outcomeOf(status, head), false)
 			return
--- a/internal/proto/sidecar_test.go
+++ b/internal/proto/sidecar_test.go
@@ -1027,6 +1027,7 @@
 func (k *sink) Close() error           { return nil }
 func (k *sink) Cut(*state.Conn) bool   { return true }
 func (k *sink) Hush()                  {}
+func (k *sink) Reset()                 {}
 func (k *sink) Quiet(*state.Conn) bool { return !k.noisy }
 
 // still is a sidecar that knows one server and does not run, and a way to connect to it without sockets.
--- a/internal/proto/stream.go
+++ b/internal/proto/stream.go
@@ -64,6 +64,7 @@
 	s.setAhead()
 	t.Streams, t.Status, t.Stays = true, status, stays
 	t.Chunked = c.Frame.Kind != sized && !t.Old
+	t.Unframed = c.Frame.Kind != sized && t.Old
 	t.Last = t.Last || s.ending() || status != 200 || c.Frame.Kind != sized && t.Old
 	s.scratch = appendThrough(appendStatus(s.scratch[:0], status), head)
 	switch {
@@ -178,7 +179,12 @@
 		c.Ticket, t.Client = nil, nil
 		s.tickets.Unmark(t)
 		s.Unanswered(t.Ticket)
-		s.close(c)
+		if t.Unframed && !c.Dead {
+			s.conns.End(c) // an HTTP/1.0 client, told no length, takes an orderly end for the answer's
+			c.Link.Reset()
+		} else {
+			s.close(c)
+		}
 	}
 	s.Done(t.Ticket)
 }
--- a/internal/state/conns.go
+++ b/internal/state/conns.go
@@ -14,6 +14,7 @@
 	Cut(c *Conn) bool   // closes it if nothing has come; the loop has heard of all else
 	Quiet(c *Conn) bool // nothing has come, and the other end has not closed
 	Hush()              // what still comes is thrown away, up to a bound
+	Reset()             // closes it so that the other end sees no orderly end
 }
 
 // Side is who is at the other end.
@@ -45,6 +46,7 @@
 	Up      bool         // connected
 	Dead    bool         // closed, or about to be: nothing more is read or sent
 	Left    atomic.Bool  // the other end has closed behind what has come of it; its end will be told
+	EOF     atomic.Bool  // the other end has ended its sending in order; a connection that ends without that was reset
 	Last    bool         // closes once all is written; what still comes is dropped
 	Waits   bool         // with its next request for the last answer to be taken
 	Asked   bool         // the client has been asked for the body that it waits with
--- a/internal/state/tickets.go
+++ b/internal/state/tickets.go
@@ -32,6 +32,7 @@
 	Left       policy.Time // the client waits for so long from the last byte on
 	Streams    bool        // its answer goes to the client as it comes; no other can follow
 	Chunked    bool        // to the client
+	Unframed   bool        // to the client: only the end of its connection ends the answer
 	Old        bool        // the client speaks HTTP/1.0
 	Bodiless   bool        // its answer has no body, whatever its head says
 	Stays      bool        // the server's connection can carry more after the answer
