Short answers are held whole; a stream whose server is silent ends by the deadline

Seen in a test: an endpoint that hangs in the middle of an answer left its client with a part, open until 5 s after the last byte, in every framing; a short answer was begun to be passed on 0.3 s after its head and could not be asked for again.

At fault: answerComes (heldFor for any answer, by a timer, also while nothing came), serverDue (silentIn 5 s whatever the deadline), and uploadDue (a stream whose request still came was ended as a push, and hung; a body that its server does not take was looked at only when it would have been due, up to minutes later).

Changed: an answer of known length up to 64 KiB is held until it is whole or its push is over. One of unknown length goes on after 0.3 s only when it still comes. A stream whose server is silent ends by the client's deadline; one that came just before that 0.3 s after its last byte (1 s where it is known to be long). A client has 5 s, as before, to take something.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -372,11 +372,13 @@
 	e.Module.Coming(t.Handle, true, now+left)
 	if t.Out {
 		t.SentAt = now
-		e.Timers.Set(&t.Wait, now+max(0, left-beforeCutOff*e.Campaign.Tick))
+		e.Timers.Set(&t.Wait, now+max(0, left-BeforeDeadline*e.Campaign.Tick))
 	}
 }
 
-const beforeCutOff = 4 // ticks before a cut-off that a push ends whose body came late
+// BeforeDeadline is how many ticks before its client's deadline ends what the module does not end: a push whose body came late, an answer
+// that is passed on and comes no more.
+const BeforeDeadline = 4
 
 // Done says that the front is through with a ticket whose push had ended before.
 func (e *Engine) Done(t *Ticket) { e.tidy(t) }
--- a/internal/proto/answers_test.go
+++ b/internal/proto/answers_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"strings"
@@ -14,6 +15,7 @@
 	"testing"
 	"time"
 
+	"pepperlead/internal/state"
 	"pepperlead/policy"
 )
 
@@ -160,3 +162,128 @@
 		s.buffers.Put(e.buf)
 	}
 }
+
+// An endpoint that hangs in the middle of an answer costs an attempt where nothing has gone on; else its client knows by the deadline that
+// it has a part, of a long answer too.
+func TestHangInMidAnswerIsKnownByTheDeadline(t *testing.T) {
+	chunk := func(n int) string { return fmt.Sprintf("%x\r\n%s\r\n", n, strings.Repeat("x", n)) }
+	for _, k := range []struct {
+		name, says, part string
+		parts            int  // so many, 40 ms apart
+		again            bool // elsewhere
+	}{
+		{"short, sized", "Content-Length: 1000\r\n", "xxx", 1, true},
+		{"short, sized, slow", "Content-Length: 1000\r\n", "xxx", 11, true},
+		{"short, in chunks", "Transfer-Encoding: chunked\r\n", chunk(9), 1, true},
+		{"short, to the end", "Connection: close\r\n", "xxx", 1, true},
+		{"in chunks, slow", "Transfer-Encoding: chunked\r\n", chunk(9), 11, false},
+		{"to the end, slow", "Connection: close\r\n", "xxx", 11, false},
+		{"long, sized", "Content-Length: 1000000\r\n", "xxx", 1, false},
+		{"long, in chunks", "Transfer-Encoding: chunked\r\n", chunk(80000), 1, false},
+	} {
+		for _, version := range []string{"1.1", "1.0"} {
+			t.Run(k.name+", HTTP/"+version, func(t *testing.T) {
+				var seen atomic.Int64
+				serve := func(c net.Conn, r *http.Request, _ int) bool {
+					if seen.Add(1) > 1 {
+						io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+						return true
+					}
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", k.says)
+					for i := range k.parts {
+						if i > 0 {
+							time.Sleep(40 * time.Millisecond)
+						}
+						io.WriteString(c, k.part)
+					}
+					io.Copy(io.Discard, c) // until the sidecar closes
+					return false
+				}
+				one, _ := peer(t, serve)
+				two, _ := peer(t, serve)
+				r, _ := run(t, func(p *Post) { p.Campaign.Offerings[0].LateCredit = 0.5 }, one, two)
+				came, took, ended := r.raw("GET", "step", version)
+				status, body, is := understood(t, "GET", came, ended)
+				if took > 1030*time.Millisecond {
+					t.Errorf("known after %v, the deadline is 1 s", took)
+				}
+				if k.again && (!is || status != 200 || body != "whole") {
+					t.Errorf("status %d, whole %v, %q", status, is, body)
+				}
+				if !k.again && (is || status != 200 || seen.Load() != 1) {
+					t.Errorf("status %d, whole %v, %d bytes, sent %d times", status, is, len(came), seen.Load())
+				}
+			})
+		}
+	}
+}
+
+// When a stream ends whose server is silent: by the deadline, unless it sent something just before.
+func TestStreamsEndInTime(t *testing.T) {
+	const ms = policy.Millisecond
+	for _, k := range []struct {
+		kind          uint8
+		got           int64
+		movedAt, want policy.Time
+	}{
+		{sized, 1, 0, 1000 * ms},
+		{sized, 1, 600 * ms, 1600 * ms},
+		{untilEnd, 100, 0, 1000 * ms},
+		{untilEnd, 100, 990 * ms, 1290 * ms},
+		{inChunks, 100, 1390 * ms, 1690 * ms}, // still coming, and may be long
+		{inChunks, mostBody + 1, 1390 * ms, 2390 * ms},
+	} {
+		if got := streamBy(state.Frame{Kind: k.kind, Got: k.got}, k.movedAt, 1000*ms); got != k.want {
+			t.Errorf("%+v: %v", k, got)
+		}
+	}
+}
+
+// A long answer that moves goes on past its deadline, also to a client that reads slowly, and one whose server pauses for less than a
+// second.
+func TestLongAnswersOutlastTheDeadline(t *testing.T) {
+	addr := giver(t, func(w io.Writer, body *rand.Rand) {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", long)
+		for range 3 {
+			io.CopyN(w, body, long/3)
+			time.Sleep(600 * time.Millisecond)
+		}
+	})
+	r, _ := run(t, nil, addr)
+	for _, pace := range []time.Duration{0, 15 * time.Millisecond} {
+		c := r.client()
+		c.send("step/x", "", "")
+		a, err := http.ReadResponse(c.in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := int64(0)
+		for err == nil {
+			var n int64
+			n, err = io.CopyN(io.Discard, a.Body, 32<<10)
+			got += n
+			time.Sleep(pace)
+		}
+		if got != long || err != io.EOF {
+			t.Errorf("%d bytes, %v", got, err)
+		}
+	}
+}
+
+// A server that begins a long answer and takes no more of the body that still comes: its client is shown the end.
+func TestAnswerBegunUnderABodyThatIsNotTaken(t *testing.T) {
+	addr, _ := peer(t, func(c net.Conn, r *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\npart", long)
+		time.Sleep(6 * time.Second)
+		return false
+	})
+	r, _ := run(t, little, addr)
+	c := r.client()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	go c.bring(30<<20, false)
+	began := time.Now()
+	if _, err := io.ReadAll(c.in); time.Since(began) > 4*time.Second {
+		t.Errorf("ended after %v, %v", time.Since(began), err)
+	}
+	r.until("ended", func() bool { return r.Held == 0 })
+}
--- a/internal/proto/stream.go
+++ b/internal/proto/stream.go
@@ -3,23 +3,27 @@
 import (
 	"strconv"
 
+	"pepperlead/internal/engine"
 	"pepperlead/internal/state"
 	"pepperlead/policy"
 )
 
 const (
-	heldFor  = 300 * policy.Millisecond // an answer that is still coming goes on to the client as it comes
-	silentIn = 5 * policy.Second        // neither end has moved a byte: the stream is over
-	lookAt   = policy.Second            // between looks whether they have
+	heldFor  = 300 * policy.Millisecond // an answer of unknown length that is still coming goes on to the client as it comes
+	unreadIn = 5 * policy.Second        // the client has taken nothing of what waits for it: the stream is over
+	silentIn = policy.Second            // past the deadline, the server has sent nothing more of a long answer: what it still gives is not cut off
+	shortIn  = 300 * policy.Millisecond // the same of one that may turn out to be short: that is lost half a second after the deadline
+	lookAt   = 250 * policy.Millisecond // between looks
 	leastRun = 16 << 10                 // may be under way of one stream, however many there are
 )
 
 var lastChunk = []byte("0\r\n\r\n")
 
-// answerComes looks at an answer that is not whole, or (due) must not be held any longer, as it is too long or takes its time. From
-// when it goes on to the client as it comes, a fault can only be shown to that; until then it costs a push. dealt: nothing else is
-// to be done about it now.
-func (s *Sidecar) answerComes(now, at policy.Time, c *state.Conn, due bool) (dealt bool) {
+// answerComes looks at an answer that is not whole, or (long) too long to be held. From when it goes on to the client as it comes, a
+// fault can only be shown to that; until then it costs a push. So a short one is held till it is whole or its push is over. One that may
+// turn out to be long goes on once it has taken its time and still comes: where its server has fallen silent, nothing is gained by
+// that, and the push is lost. dealt: nothing else is to be done about it now.
+func (s *Sidecar) answerComes(now, at policy.Time, c *state.Conn, long bool) (dealt bool) {
 	t, b := c.Ticket, c.In.B
 	n, status, head, size, chunked, stays, ok := answerHead(b, false, t.Bodiless)
 	if !ok || n == 0 || size > mostStream || t.Client == nil || t.Settled {
@@ -27,7 +31,6 @@
 	}
 	if c.HeadAt == 0 {
 		c.HeadAt = at
-		s.Timers.Set(&c.Timer, now+heldFor)
 		if c.Need = 0; size >= 0 && size <= mostBody {
 			c.Need = n + size
 		}
@@ -40,8 +43,9 @@
 		}
 		return false
 	}
-	if !due && size <= mostBody && len(b)-n <= mostBody {
-		return false // a part that is announced beyond it follows soon
+	due := size < 0 && at-c.HeadAt >= heldFor
+	if !long && !due && size <= mostBody && len(b)-n <= mostBody {
+		return false
 	}
 	c.Frame = frameOf(size, chunked)
 	got, used, done, ok := takeBody(&c.Frame, b[n:])
@@ -77,13 +81,14 @@
 		s.scratch = append(s.scratch, "Connection: close\r\n"...)
 	}
 	s.write(t.Client, append(s.scratch, "\r\n"...))
-	c.Moved, c.MovedAt = 0, 0
-	s.Timers.Set(&c.Timer, now+lookAt)
+	c.MovedAt, t.Client.MovedAt = at, 0
 	s.handOn(c, t, body)
+	s.streamDue(now, c, t)
 }
 
 // passOn hands on what has come of an answer.
 func (s *Sidecar) passOn(now, at policy.Time, c *state.Conn, t *state.Ticket, b []byte) {
+	c.MovedAt = at
 	n, used, done, ok := takeBody(&c.Frame, b)
 	if t.Client != nil {
 		s.handOn(c, t, b[:n])
@@ -196,18 +201,46 @@
 	s.setAhead()
 }
 
-// serverDue is the one timer of a connection to a server: idle for too long, an answer that takes its time, or a stream in which
-// neither end moves any more.
+// serverDue is the one timer of a connection to a server: idle for too long, or a stream that may move no more.
 func (s *Sidecar) serverDue(now policy.Time, c *state.Conn) {
-	t := c.Ticket
-	switch {
+	switch t := c.Ticket; {
 	case t == nil:
 		s.close(c)
-	case t.Streams && t.Client != nil && c.Moves(now, c.Frame.Got+t.Client.Written.Load(), silentIn):
-		s.Timers.Set(&c.Timer, now+lookAt)
 	case t.Streams:
+		s.streamDue(now, c, t)
+	}
+}
+
+// streamDue ends a stream in which nothing moves any more, and sets the next look.
+func (s *Sidecar) streamDue(now policy.Time, c *state.Conn, t *state.Ticket) {
+	if t.Client == nil {
+		s.breakStream(now, t)
+		return
+	}
+	by := now + unreadIn
+	switch {
+	case t.Client.Waiting() > 0:
+		c.MovedAt = now // the server is not at fault: it may have to wait
+		if !t.Client.Moves(now, t.Client.Written.Load(), unreadIn) {
+			by = now
+		}
+	case t.Uploads: // its time has not begun
+		by = c.MovedAt + unreadIn
+	default:
+		by = streamBy(c.Frame, c.MovedAt, t.Since+t.Left-engine.BeforeDeadline*s.Campaign.Tick)
+	}
+	if now >= by {
 		s.breakStream(now, t)
-	case c.In != nil:
-		s.answerComes(now, now, c, true)
+		return
+	}
+	s.Timers.Set(&c.Timer, min(by, now+lookAt))
+}
+
+// streamBy is when a stream ends whose server sends nothing more: its client knows by its deadline that it gets no more, or, where
+// some came just before that, soon after it.
+func streamBy(f state.Frame, movedAt, deadline policy.Time) policy.Time {
+	if f.Kind == sized || f.Got > mostBody { // it is long: a short one of known size is never passed on before it is whole
+		return max(deadline, movedAt+silentIn)
 	}
+	return max(deadline, movedAt+shortIn)
 }
--- a/internal/proto/upload.go
+++ b/internal/proto/upload.go
@@ -69,7 +69,11 @@
 	}
 	if !done {
 		if c.Upload != state.NoUpload {
-			s.Timers.Set(&c.Timer, s.uploadBy(c))
+			by := s.uploadBy(c)
+			if c.Stop.Load() {
+				by = min(by, now+lookAt) // it waits for its server, which may take no more
+			}
+			s.Timers.Set(&c.Timer, by)
 		}
 		return
 	}
@@ -145,6 +149,10 @@
 	t := c.Ticket
 	switch {
 	case c.Stop.Load() && t != nil:
+		if t.Streams && !t.Push.Moves(now, t.Push.Written.Load(), flushIn) {
+			s.breakStream(now, t) // its server answers already, and takes no more
+			return
+		}
 		if t.Sent && t.Push != nil && !t.Push.Moves(now, t.Push.Written.Load(), flushIn) {
 			s.TimedOut(now, t.Ticket)
 		}
