Rehearsals, drills and watched files take more than a thousand processes and servers

Rehearsals took 128 servers and 320 sidecars, drills 100 and 1,000 (the servers' doors stood in one 254 of addresses), 256 watched files. Now 2,048 each. Not measured: a rehearsal or drill of that size does not fit this project's eight cores.

--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -172,7 +172,7 @@
 			return nil, err
 		}
 		c.servers = append(c.servers, s)
-		door, err := c.Links.TCP(fmt.Sprintf("127.9.0.%d:0", i+1), links.Place(name), s.Addr())
+		door, err := c.Links.TCP(fmt.Sprintf("127.9.%d.%d:0", i/250, i%250+1), links.Place(name), s.Addr())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/drill/script.go
+++ b/internal/drill/script.go
@@ -84,7 +84,7 @@
 	t := root.Table("drill")
 	s.About = t.Text("about", "")
 	s.Sidecars, s.Keepers = int(t.Count("sidecars", 5, 1, most)), int(t.Count("keepers", 3, 1, 5))
-	s.Servers, s.Seconds = int(t.Count("servers", 3, 1, 100)), span(t, "seconds", 10*time.Second)
+	s.Servers, s.Seconds = int(t.Count("servers", 3, 1, most)), span(t, "seconds", 10*time.Second)
 	s.Rate, s.Resets = t.Real("rate", 10, 0, 1000), t.Real("resets", 0.1, 0, 1)
 	s.Jitter, s.Lease = span(t, "jitter", 300*time.Millisecond), t.Text("lease", "1.5s")
 	s.AgreeWithin = span(t, "agree_within", 500*time.Millisecond)
--- a/internal/drill/script_test.go
+++ b/internal/drill/script_test.go
@@ -1,6 +1,7 @@
 package drill
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -25,3 +26,20 @@
 		t.Error("a drill of an unknown version is taken")
 	}
 }
+
+// A fleet of more than a thousand processes and servers can be written down; one that no addresses are laid out for is a fault that says so.
+func TestLargeDrillsCanBeRead(t *testing.T) {
+	for n, fine := range map[int]bool{1024: true, most: true, most + 1: false} {
+		s, err := ReadScript("large", fmt.Appendf(nil, "[drill]\nsidecars = %d\nservers = %d\n", n, n))
+		if fine != (err == nil) || fine && (s.Sidecars != n || s.Servers != n) {
+			t.Errorf("%d: %v", n, err)
+		}
+	}
+	seen := map[string]bool{}
+	for i := range most + 5 {
+		seen[own(i)], seen[reached(i)] = true, true
+	}
+	if len(seen) != 2*(most+5) {
+		t.Errorf("%d addresses for %d processes", len(seen), most+5)
+	}
+}
--- a/internal/drill/stage.go
+++ b/internal/drill/stage.go
@@ -57,8 +57,8 @@
 	Seed      uint64
 }
 
-// most is how many one machine's loopback addresses and descriptors are planned for here.
-const most = 1000
+// most is how many processes, and how many servers, loopback addresses are laid out for here.
+const most = 2048
 
 // Begin starts all processes at once. The caller ends them by Close, also after an error.
 func Begin(p Post) (*Stage, error) {
--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -41,8 +41,8 @@
 
 const (
 	// mostServers and mostRate keep a rehearsal to what one machine can play beside the daemons.
-	mostServers  = 128
-	mostSidecars = 320
+	mostServers  = 2048
+	mostSidecars = 2048
 	mostRate     = 5000
 	// slack is how late a stand-in may hear of what a sidecar did: its handler starts, or learns of a close, that much later.
 	slack = 100 * policy.Millisecond
--- a/internal/roster/files.go
+++ b/internal/roster/files.go
@@ -22,7 +22,7 @@
 const (
 	lookEvery = time.Second          // where nothing says that a file has changed
 	gather    = 2 * time.Millisecond // a burst of changes is read once
-	mostFiles = 256
+	mostFiles = 2048                 // one for each server, say
 	mostDirs  = 64
 )
 
