What is kept for a cold server lapses: the sum over the fleet stays within its budget

As held from now on: beyond a cold server's budget of N calls only 2 roots of N and 2 more are chance, under the sum of all processes.

Seen in a model of 4 to 350 instances before one cold server (TestFleetKeepsTheColdBudget: all at once, in bursts, half at a time, with restarts, back after half, each after 0 to 15 s in which nobody asked): the module as it was sends up to 2 times what is allowed from 24 instances on.

At fault: save(). Each instance kept one push for as long as the server was cold, so a burst had all of them spend it at once; and own answers earned 0.8 of what makes a server fall, which beside what is kept comes to more than the whole.

Changed: a push that is not used lapses after 0.4 of the time in which the server falls (rules.fall_s, read now; a second where it is not told); own answers earn 0.6. With a quarter from what warm servers bear, what is kept and what is earned within one fall time come to (0.6 + 0.25) x 1.4 = 1.19 N.

--- a/internal/campaign/campaign.go
+++ b/internal/campaign/campaign.go
@@ -102,6 +102,9 @@
 		ColdTime:     p.Span("rules.cold_s"),
 		FallMultiple: p.Real("rules.fall_multiple"),
 	}
+	if _, told := p.Of["rules.fall_s"]; told {
+		c.FallTime = p.Span("rules.fall_s")
+	}
 	c.Streams = 1
 	if v, ok := p.Of["limits.streams_per_conn"]; ok {
 		if c.Streams = p.Count("limits.streams_per_conn"); c.Streams == 0 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,8 @@
 	paceSpare, paceFree   = 4, 16                   // times what is out, or pushes at each server, left to it
 	heatPrior, sureBeyond = 64, 2                   // tickets under other keys before; errors over a share
 	lately, hotSpread     = 32, 6                   // tickets that show a new hot key; servers for one's worth
-	shortOfHit, coldEarns = 0.25, 0.8               // no keys remembered: four times the work; own answers' part
+	shortOfHit, coldEarns = 0.25, 0.6               // no keys remembered: four times the work; own answers' part
+	coldKeeps             = 0.4                     // fall times that a push to a cold one keeps: all spend at once in a burst
 	repeatValue, waitPart = 0.5, 0.5                // worth of a client's repeat; what may wait of home's rate
 	paceGrowth, firstWait = 0.5, 2.0                // growth at no lateness; quoted times for a first push
 	pushCredit, pushesCap = 0.1, 20                 // further pushes earned by each honoured, saved at most
@@ -451,8 +452,7 @@
 		return
 	}
 	if spent {
-		// Further pushes are earned by honoured ones, so that failures cannot feed an overload.
-		b.pushes--
+		b.pushes-- // earned by honoured ones, so that failures cannot feed an overload
 	}
 	b.place(n.now, t, false)
 }
@@ -622,8 +622,10 @@
 	c := b.campaign
 	share := c.ColdShare + (1-c.ColdShare)*float64(now-s.Started)/float64(c.ColdTime)
 	grow := max(0.25/float64(c.Sidecars), c.FallMultiple*share*shortOfHit*b.borne*b.worksAs(s),
-		c.FallMultiple*coldEarns*s.served.now(now))
-	s.budget, s.budgetAt = min(1, c.FallMultiple, s.budget+grow*float64(now-s.budgetAt)/float64(Second)), now
+		c.FallMultiple*coldEarns*s.served.now(now)) / float64(Second)
+	sum, kept := s.budget+grow*float64(now-s.budgetAt), grow*coldKeeps*float64(cmp.Or(c.FallTime, Second))
+	sum -= max(0, math.Ceil(sum-1-kept)) // one at most is kept, and for no longer
+	s.budget, s.budgetAt = min(2-math.Floor(min(1, kept)), c.FallMultiple, sum), now
 	return s.budget
 }
 
@@ -874,10 +876,8 @@
 func (c *chance) part() float64 { return float64(c.next()) / (1 << 32) }
 
 func (m *meter) now(now Time) float64 {
-	if now > m.at {
-		m.rate *= math.Exp(-float64(now-m.at) / float64(rateSpan))
-		m.at = now
-	}
+	m.rate *= math.Exp(-float64(max(0, now-m.at)) / float64(rateSpan))
+	m.at = max(m.at, now)
 	return m.rate
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -126,6 +126,7 @@
 	ColdShare    float64
 	ColdTime     Time
 	FallMultiple float64
+	FallTime     Time // over which what is sent to a cold server counts; 0: a second
 }
 
 // Front is what the module asks of its surroundings.
