The wait for the first list is told in one line; idle clients never keep discovery from being asked

TestAgentIsHeardBeforeTheFirstPush finds the line, which says how long clients waited and by which list they come in (a third of the grace at most).

--- /dev/null
+++ b/cmd/pepperlead/descriptors_test.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pepperlead/internal/standin"
+)
+
+// agentAt is a stand-in for discovery's agent that gives this list to whoever asks for all, and lets watches wait; asked is told of calls.
+func agentAt(t *testing.T, addr, list string, asked chan<- time.Time) (at string, end func()) {
+	t.Helper()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") != "" {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, list)
+		select {
+		case asked <- time.Now():
+		default:
+		}
+	})}
+	go server.Serve(l)
+	return l.Addr().String(), func() { server.Close() }
+}
+
+// Idle clients take all the room there is while discovery is down. What it has when it is back is asked for all the same, and acted on.
+func TestDiscoveryIsHeardWhileIdleClientsFillTheDescriptors(t *testing.T) {
+	dir := t.TempDir()
+	program, config := filepath.Join(dir, "pepperlead"), filepath.Join(dir, "config.json")
+	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v %s", err, built)
+	}
+	var servers [2]*standin.Server
+	for i := range servers {
+		s, err := standin.Start("127.0.0.1:0", standin.Traits{Cores: 4, Queue: 16, Work: time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		servers[i] = s
+	}
+	list := func(rev int, states ...string) string {
+		var all []string
+		for i, state := range states {
+			all = append(all, fmt.Sprintf(`{"uid":"s-%d","endpoint":%q,"az":"a","pod_group":1,"state":%q,"boot_ms":0}`, i, servers[i].Addr(), state))
+		}
+		return fmt.Sprintf(`{"rev":%d,"all":true,"targets":[%s]}`, rev, strings.Join(all, ","))
+	}
+	asked := make(chan time.Time, 16)
+	agent, down := agentAt(t, "127.0.0.1:0", list(7, "Ready"), asked)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := free.Addr().String()
+	free.Close()
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1.0,"memory_mb":64,"sockets":48},"known":%s,
+"settings":{"balancers":3,"zone":"a","zones":["a"],"weight_kind":"nominal","membership_mode":"pushed","tick_s":0.005,"limits":{"cancel":true,
+"max_pushes":3,"retry_after":true,"max_retry_after_s":3.0,"connect_timeout_s":0.2,"conn_idle_s":60.0},"prices":{"cross_zone":0.0},
+"rules":{"cold_from":0.13,"cold_s":24.0,"fall_multiple":3.0,"fall_s":1.0,"drain_grace_s":0.5},
+"offerings":[{"name":"step","credit":1.0,"overdue_credit":0.2,"quoted_time_s":1.0,"cut_off_s":2.0,"idempotency":"retryable"}]}}`, at, agent, list(7, "Ready"))
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(program, "serve", "--config", config)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { c.Process.Signal(syscall.SIGTERM); c.Wait() }()
+	select {
+	case <-asked:
+	case <-time.After(10 * time.Second):
+		t.Fatal("discovery was never asked")
+	}
+	down()
+	// More clients than there is room for: those that are closed as silent make room for others that are.
+	var idle sync.WaitGroup
+	over := make(chan struct{})
+	for range 60 {
+		idle.Go(func() {
+			for {
+				if client, err := net.Dial("tcp", at); err == nil {
+					client.SetReadDeadline(time.Now().Add(10 * time.Second))
+					gone := make(chan struct{})
+					go func() { io.Copy(io.Discard, client); close(gone) }()
+					select {
+					case <-gone:
+					case <-over:
+					}
+					client.Close()
+				}
+				select {
+				case <-over:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+	for len(asked) > 0 {
+		<-asked
+	}
+	began := time.Now()
+	_, down = agentAt(t, agent, list(2, "Terminating", "Ready"), asked)
+	defer down()
+	select {
+	case <-asked:
+	case <-time.After(5500 * time.Millisecond):
+		t.Error("not asked within 5.5 s of its return")
+	}
+	t.Logf("asked %v after its return", time.Since(began))
+	close(over)
+	idle.Wait()
+	time.Sleep(500 * time.Millisecond) // the grace
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		answer, err := http.Get("http://" + at + "/_servers")
+		if err == nil {
+			page, _ := io.ReadAll(answer.Body)
+			answer.Body.Close()
+			if strings.Contains(string(page), "s-0 ") && strings.Contains(string(page), " leaving") && strings.Contains(string(page), "s-1 ") {
+				break
+			}
+			err = fmt.Errorf("%s", page)
+		}
+		if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/proto/begin.go
+++ b/internal/proto/begin.go
@@ -23,7 +23,12 @@
 }
 
 // open lets clients in, once.
-func (s *Sidecar) open(policy.Time) {
+func (s *Sidecar) open(now policy.Time) {
+	if s.waits {
+		waited := now - (s.begin.At() - s.post.First)
+		s.Logger.WithField("waited_ms", waited/policy.Millisecond).Info(map[bool]string{true: "list: told by the source before the first client",
+			false: "list: the source is silent, clients come in by the saved one"}[s.Fresh()])
+	}
 	s.waits = false
 	s.Timers.Stop(&s.begin)
 	close(s.sockets.gate.begun)
--- a/internal/proto/crossing_test.go
+++ b/internal/proto/crossing_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+
 	"pepperlead/internal/roster"
 	"pepperlead/internal/state"
 	"pepperlead/policy"
@@ -240,6 +242,7 @@
 			source.Grace = time.Second
 			p.Source, p.First = source, 300*policy.Millisecond
 		}, drained.Addr().String())
+		log := logrustest.NewLocal(r.Logger)
 		began, c := time.Now(), r.client()
 		id := c.send("step/echo", "b", "")
 		time.Sleep(50 * time.Millisecond)
@@ -259,6 +262,15 @@
 			t.Errorf("%s: %d, sent %d times to the server that drains, after %v", name, answer.StatusCode, n, time.Since(began))
 		}
 		r.end()
+		lines := 0
+		for _, e := range log.AllEntries() {
+			if _, says := e.Data["waited_ms"]; says && strings.Contains(e.Message, "silent") == (name != "agent answers") {
+				lines++
+			}
+		}
+		if lines != 1 {
+			t.Errorf("%s: %d lines of the wait", name, lines)
+		}
 	}
 }
 
