Tests of each path to an attempt whose client has left, and of TCP_NODELAY on both sides

As held from now on: an attempt, first or further, begun over 0.1 s after the close is a break. Forced: behind another request on its connection, a further attempt, queued with every server at its limit, waiting for a connection to rest; dials and reads with an end were there. Each with and without cancel.

--- a/internal/proto/crossing_test.go
+++ b/internal/proto/crossing_test.go
@@ -5,10 +5,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	logrustest "github.com/sirupsen/logrus/hooks/test"
 
 	"pepperlead/internal/roster"
@@ -303,3 +306,91 @@
 		t.Error("no second answer came in time: the machine is too busy for this test")
 	}
 }
+
+// A client closes while its request has not been sent yet, or has failed and would be sent again. Whatever path the request is on, no
+// attempt begins after that, also where the settings allow no cancel.
+func TestNothingBeginsForAClientThatHasLeft(t *testing.T) {
+	for name, k := range map[string]struct {
+		quoted policy.Time
+		before func(r *running) // what stands in the way
+		path   string
+		stays  time.Duration // of the client, after it has sent
+		seen   int           // attempts that had begun by then
+	}{
+		"behind another on its connection": {policy.Second / 4, nil, "step/slow", 30 * time.Millisecond, 1},
+		"a further attempt":                {policy.Second / 4, nil, "step/fail", 30 * time.Millisecond, 1},
+		"queued, every server at its limit": {2 * policy.Second, func(r *running) {
+			for range 8 {
+				c := r.client()
+				c.send("step/slow", "b", "")
+			}
+			r.until("full", func() bool { return r.Module.Gauges().Waiting > 1 })
+		}, "step/x", 10 * time.Millisecond, 0},
+		"waits for a connection to rest": {2 * policy.Second, func(r *running) {
+			c := r.client()
+			c.send("step/x", "b", "")
+			c.receive()
+		}, "step/x", 3 * time.Millisecond, 0},
+	} {
+		for _, cancel := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, cancel %v", name, cancel), func(t *testing.T) {
+				var seen atomic.Int64
+				serve := func(c net.Conn, r *http.Request, _ int) bool {
+					if r.Header.Get("X-Leaves") != "" {
+						seen.Add(1)
+					}
+					switch {
+					case strings.HasSuffix(r.URL.Path, "/slow"):
+						time.Sleep(120 * time.Millisecond)
+					case strings.HasSuffix(r.URL.Path, "/fail"):
+						time.Sleep(120 * time.Millisecond)
+						return false
+					}
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					return true
+				}
+				one, _ := peer(t, serve)
+				two, _ := peer(t, serve)
+				if strings.HasPrefix(name, "waits") {
+					two = one
+				}
+				r, _ := run(t, func(p *Post) { p.Campaign.MayCancel, p.Campaign.Offerings[0].Quoted = cancel, k.quoted }, one, two)
+				if k.before != nil {
+					k.before(r)
+				}
+				c := r.client()
+				c.send(k.path, "b", "X-Leaves: 1\r\n")
+				if strings.HasPrefix(name, "behind") {
+					c.send("step/x", "b", "X-Leaves: 1\r\n")
+				}
+				time.Sleep(k.stays)
+				c.Close()
+				time.Sleep(400 * time.Millisecond)
+				if n := int(seen.Load()); n != k.seen {
+					t.Errorf("%d attempts, want %d", n, k.seen)
+				}
+				r.until("ended", func() bool { return r.Held == 0 })
+			})
+		}
+	}
+}
+
+// What is written goes out at once on either side: what the kernel still held back would be lost with a reset.
+func TestSmallWritesAreNotHeldBack(t *testing.T) {
+	r, _ := run(t, nil, newStandIn(t).Addr().String())
+	c := r.client()
+	c.send("step/echo", "b", "")
+	c.receive()
+	r.Inside(func() {
+		sides := map[state.Side]int{}
+		for c := range r.conns.Open {
+			on, err := unix.GetsockoptInt(c.Link.(*link).fd, unix.IPPROTO_TCP, unix.TCP_NODELAY)
+			if sides[c.Side]++; err != nil || on == 0 {
+				t.Errorf("side %d: TCP_NODELAY %d, %v", c.Side, on, err)
+			}
+		}
+		if sides[state.Client] == 0 || sides[state.ToServer] == 0 {
+			t.Errorf("connections by side: %v", sides)
+		}
+	})
+}
