The test of a rehearsal that is too large goes by the bound as it is now

The assertion was wrong by the new term, and is replaced by one as strict: one sidecar beyond the bound is refused by Run, and TestSizesThatFit holds both bounds and the rate from either side, and that 1,024 of each fit.

--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -103,17 +103,25 @@
 	behind policy.Time
 }
 
+// fits tells why a scenario with so many requests a second cannot be played on sockets.
+func fits(sc *emulator.Scenario, rate float64) error {
+	switch {
+	case sc.Servers > mostServers || sc.Sidecars > mostSidecars || rate > mostRate:
+		return fmt.Errorf("%s: found %d servers, %d sidecars, %.0f requests a second, allowed %d, %d, %d on sockets", sc.Name,
+			sc.Servers, sc.Sidecars, rate, mostServers, mostSidecars, mostRate)
+	case sc.Discovery.Asked:
+		return fmt.Errorf("%s: discovery.asked: lists come by files on sockets", sc.Name)
+	}
+	return nil
+}
+
 // Run plays the scenario and judges it.
 func Run(ctx context.Context, p Play) (*judge.Verdict, error) {
 	sc := p.Scenario
 	plan := emulator.Plan(sc, p.Seed)
 	world := emulator.New(sc, p.Seed, emulator.Module, nil) // for what it lays out: rate, campaign, servers
-	switch rate := float64(len(plan)) / (float64(sc.Length) / 1e9); {
-	case sc.Servers > mostServers || sc.Sidecars > mostSidecars || rate > mostRate:
-		return nil, fmt.Errorf("%s: found %d servers, %d sidecars, %.0f requests a second, allowed %d, %d, %d on sockets", sc.Name,
-			sc.Servers, sc.Sidecars, rate, mostServers, mostSidecars, mostRate)
-	case sc.Discovery.Asked:
-		return nil, fmt.Errorf("%s: discovery.asked: lists come by files on sockets", sc.Name)
+	if err := fits(sc, float64(len(plan))/(float64(sc.Length)/1e9)); err != nil {
+		return nil, err
 	}
 	dir, err := os.MkdirTemp("", "rehearsal")
 	if err != nil {
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -108,8 +109,22 @@
 	if d := r.Verdict.Service - took.Honoured; !r.Verdict.Kept() || d < -0.15 || d > 0.15 {
 		t.Errorf("replayed: %v, service %.3f, of the recorded tickets %.3f were honoured", r.Verdict.Broken, r.Verdict.Service, took.Honoured)
 	}
-	sc.Arrivals, sc.Sidecars = nil, 999
-	if _, err := Run(context.Background(), Play{Scenario: sc, Daemon: daemon}); err == nil || !strings.Contains(err.Error(), "999 sidecars") {
-		t.Errorf("a rehearsal of 999 sidecars: %v", err)
+	sc.Arrivals, sc.Sidecars = nil, mostSidecars+1
+	if _, err := Run(context.Background(), Play{Scenario: sc, Daemon: daemon}); err == nil || !strings.Contains(err.Error(), fmt.Sprint(sc.Sidecars, " sidecars")) {
+		t.Errorf("a rehearsal of %d sidecars: %v", sc.Sidecars, err)
+	}
+}
+
+// A fleet of more than a thousand is let in, and one beyond what is laid out for is not, on either side.
+func TestSizesThatFit(t *testing.T) {
+	for _, k := range []struct {
+		servers, sidecars int
+		rate              float64
+		fits              bool
+	}{{1024, 1024, 100, true}, {mostServers, mostSidecars, mostRate, true}, {mostServers + 1, 1, 1, false}, {1, mostSidecars + 1, 1, false},
+		{1, 1, mostRate + 1, false}} {
+		if err := fits(&emulator.Scenario{Servers: k.servers, Sidecars: k.sidecars}, k.rate); (err == nil) != k.fits {
+			t.Errorf("%+v: %v", k, err)
+		}
 	}
 }
