--- a/cmd/pepperlead/descriptors_test.go
+++ b/cmd/pepperlead/descriptors_test.go
@@ -43,9 +43,7 @@
 func TestDiscoveryIsHeardWhileIdleClientsFillTheDescriptors(t *testing.T) {
 	dir := t.TempDir()
 	program, config := filepath.Join(dir, "pepperlead"), filepath.Join(dir, "config.json")
-	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v %s", err, built)
-	}
+	build(t, program)
 	var servers [2]*standin.Server
 	for i := range servers {
 		s, err := standin.Start("127.0.0.1:0", standin.Traits{Cores: 4, Queue: 16, Work: time.Millisecond})
--- a/cmd/pepperlead/main_test.go
+++ b/cmd/pepperlead/main_test.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// build makes the program as it is deployed.
+func build(t *testing.T, program string) {
+	t.Helper()
+	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v %s", err, built)
+	}
+}
+
 // Flags with one dash, as they were typed before, go on working.
 func TestOldFlagsWork(t *testing.T) {
 	for _, args := range [][]string{{"check", "-config", "../../deploy/standalone.toml"},
@@ -79,9 +87,7 @@
 // The program as it is started: with a configuration that cannot be served it ends at once, with one plain line.
 func TestServeEndsOnABadConfiguration(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "pepperlead")
-	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v %s", err, built)
-	}
+	build(t, program)
 	bad := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(bad, []byte(`{"listen":1}`), 0o600); err != nil {
 		t.Fatal(err)
@@ -157,9 +163,7 @@
 		t.Errorf("left behind: %v", left)
 	}
 	program := file("pepperlead")
-	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v %s", err, built)
-	}
+	build(t, program)
 	c := exec.Command(program, "serve", "--config", file("new.toml"))
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
@@ -204,9 +208,7 @@
 func TestServesWithoutAFolder(t *testing.T) {
 	dir := t.TempDir()
 	program, config, l := filepath.Join(dir, "pepperlead"), filepath.Join(dir, "alone.toml"), [2]string{}
-	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v %s", err, built)
-	}
+	build(t, program)
 	for i := range l {
 		at, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/internal/proto/upload.go
+++ b/internal/proto/upload.go
@@ -149,11 +149,11 @@
 	t := c.Ticket
 	switch {
 	case c.Stop.Load() && t != nil:
-		if t.Streams && !t.Push.Moves(now, t.Push.Written.Load(), flushIn) {
-			s.breakStream(now, t) // its server answers already, and takes no more
-			return
-		}
 		if t.Sent && t.Push != nil && !t.Push.Moves(now, t.Push.Written.Load(), flushIn) {
+			if t.Streams {
+				s.breakStream(now, t) // its server answers already
+				return
+			}
 			s.TimedOut(now, t.Ticket)
 		}
 		c.HeadAt = now - policy.Time(c.Frame.Got)*policy.Second/bodyRate
