Review case 1: a body is taken for chunks twice, and servers run what nobody sent

A long body is answered 503 while its client still sends it. The client's next request, a POST in chunks, is parsed again after its body has been decoded. Where the body's text is a message in chunks, servers get the POST with another body and requests that no client sent.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -8,7 +8,7 @@
 	echo "build first, as deploy/balancer.toml says, then review/build.sh" >&2
 	exit 2
 fi
-timeout --kill-after=2 110 review/bin/standin unread "$here"
+timeout --kill-after=2 110 review/bin/standin reframed "$here"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
