A long body is never parsed as requests while it is collected

Cause: responseSent puts a connection with further input on p.ready. Before Gather reaches that list, a later event of the same round can hold more of the next body: readRequest takes it for a long one, and beginUpload leaves head and decoded body in Input.Buffer. readRequests then ran for the connection on the list and parsed them as if they had just come, the decoded body as chunks. Told from other causes by stepping an instance that does not run through that one round; moving the two events into different rounds makes the fault go away.

So readRequests returns at once while a body is being received, whoever calls it; the end of the body's request puts the connection on the list again.

--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -68,6 +68,9 @@
 
 // readRequests handles the complete requests that a client has sent. at is the arrival time of the last bytes.
 func (p *Proxy) readRequests(now, at policy.Time, c *connstate.Conn) {
+	if c.Upload.State != connstate.NoUpload {
+		return // the buffer holds decoded bytes of a body, which began after the connection was added to p.ready
+	}
 	for p.readyForRequest(now, c) {
 		if !p.readRequest(now, at, c) {
 			return
--- a/internal/httpproxy/proxy_test.go
+++ b/internal/httpproxy/proxy_test.go
@@ -243,11 +243,18 @@
 	t.Helper()
 	r, _ := startProxy(t, nil, "127.0.0.1:1")
 	r.shutdown()
+	return r.stoppedCopy()
+}
+
+// stoppedCopy returns another instance with this configuration that does not run, and a function that adds a connection without a real
+// socket.
+func (r *runningProxy) stoppedCopy() (*Proxy, func(side connstate.Side) (*connstate.Conn, *recordingSocket)) {
+	r.t.Helper()
 	s := New(r.config, r.Logger)
 	s.sockets.connect = func(string, policy.Time) (net.Conn, error) { return nil, net.ErrClosed }
 	_, _, entries, err := discovery.DecodeList(s.config.SavedList)
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
 	s.ApplyList(1, &discovery.List{Kind: policy.ListSaved, Entries: entries})
 	return s, func(side connstate.Side) (*connstate.Conn, *recordingSocket) {
--- /dev/null
+++ b/internal/httpproxy/upload_test.go
@@ -0,0 +1,192 @@
+package httpproxy
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"pepperlead/internal/connstate"
+	"pepperlead/policy"
+)
+
+// Each test in this file steps an instance that does not run through one order of events on a connection that carries a long body.
+
+// transcriptSocket is a socket that records everything written to it.
+type transcriptSocket struct {
+	*recordingSocket
+	written bytes.Buffer
+	stuck   bool // the kernel accepts no bytes
+}
+
+func (k *transcriptSocket) Write(b []byte) (int, error) {
+	k.written.Write(b)
+	if !k.stuck {
+		k.conn.Output.Written.Add(int64(len(b)))
+	}
+	return len(b), nil
+}
+
+// steppedProxy is an instance that does not run, and the time that it is told.
+type steppedProxy struct {
+	*Proxy
+	connect func(side connstate.Side) (*connstate.Conn, *recordingSocket)
+	now     policy.Time
+}
+
+// steppedProxies returns a function that makes instances with one endpoint and this limit of the memory for messages.
+func steppedProxies(t *testing.T, messageMemory int) func() *steppedProxy {
+	t.Helper()
+	r, _ := startProxy(t, func(p *Config) { p.MessageMemory = messageMemory }, "127.0.0.1:1")
+	r.shutdown()
+	return func() *steppedProxy {
+		s, connect := r.stoppedCopy()
+		return &steppedProxy{s, connect, s.Clock.Now()}
+	}
+}
+
+// client adds a client connection without a real socket.
+func (s *steppedProxy) client() (*connstate.Conn, *transcriptSocket) {
+	c, plain := s.connect(connstate.ClientSide)
+	socket := &transcriptSocket{recordingSocket: plain}
+	c.Socket = socket
+	s.clientConnected(s.now, c)
+	return c, socket
+}
+
+// idleEndpoint adds an idle connection to the endpoint without a real socket.
+func (s *steppedProxy) idleEndpoint() (*connstate.Conn, *transcriptSocket) {
+	c, plain := s.connect(connstate.EndpointSide)
+	socket := &transcriptSocket{recordingSocket: plain}
+	c.Socket = socket
+	c.Output.RequestsWritten = &s.Metrics.Written
+	for _, one := range s.Endpoints {
+		c.Endpoint, c.Generation = s.endpointConns(one), one.Generation
+	}
+	s.returnIdle(1, c)
+	return c, socket
+}
+
+// post queues bytes that have arrived on a connection.
+func (s *steppedProxy) post(c *connstate.Conn, received string) {
+	buf := s.buffers.Get(len(received))
+	buf.B = append(buf.B, received...)
+	c.Input.Unread.Add(int64(len(buf.B)))
+	c.Input.UnreadMemory.Add(int64(cap(buf.B)))
+	s.sockets.post(event{kind: eventData, conn: c, buf: buf})
+}
+
+// round handles the queued events in one round.
+func (s *steppedProxy) round() {
+	s.now += policy.Millisecond
+	s.Round(s.now)
+}
+
+// step handles events, each like the only one of its round.
+func (s *steppedProxy) step(events ...event) {
+	for _, e := range events {
+		s.handleEvent(s.now, e)
+		s.ReportEndedAttempts(s.now)
+		s.round()
+	}
+}
+
+// receivedRequests returns the requests that an endpoint reads from these bytes, and their bodies. The last one may be incomplete.
+func receivedRequests(written []byte) (requests []*http.Request, bodies []string) {
+	in := bufio.NewReader(bytes.NewReader(written))
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return requests, bodies
+		}
+		body, _ := io.ReadAll(request.Body) // what has arrived of it
+		requests, bodies = append(requests, request), append(bodies, string(body))
+	}
+}
+
+// longHead is the head of a request with a body that is streamed, as it is too long to be collected.
+const longHead = "POST %s HTTP/1.1\r\nHost: o\r\nX-Request-ID: long\r\nX-Timeout: 1\r\nContent-Length: %d\r\n\r\n"
+
+// nextRequest returns a request with a body that is itself a message in chunks with another request behind it.
+func nextRequest(headers string, chunked bool) (message, body string) {
+	body = "1\r\nA\r\n0\r\n\r\nGET /step/inner HTTP/1.1\r\nHost: o\r\nX-Request-ID: inner\r\nX-Timeout: 1\r\n\r\n" + strings.Repeat("z", 120<<10)
+	head := "POST /step/next HTTP/1.1\r\nHost: o\r\nX-Request-ID: next\r\nX-Timeout: 1\r\n" + headers
+	if chunked {
+		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body), body
+	}
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body), body
+}
+
+// answerEarly has a client send a long body that is answered before its end, and returns the rest of that body.
+func (s *steppedProxy) answerEarly(t *testing.T, client, endpoint *connstate.Conn, path string) (rest string) {
+	s.post(client, fmt.Sprintf(longHead, path, 2<<20))
+	s.post(client, strings.Repeat("y", 2<<20-10))
+	s.round()
+	if endpoint.Request != nil {
+		s.step(event{kind: eventClosed, conn: endpoint, at: s.now})
+	}
+	if client.Request != nil || client.Upload.State != connstate.StreamingUpload {
+		t.Fatalf("%s: the long request was not answered before its end", path)
+	}
+	return strings.Repeat("y", 10)
+}
+
+// The next request arrives in the round in which its connection becomes ready for it: after the end of a long body that was answered
+// early, or behind a request that has just been answered. While its long body is being collected, the decoded part must not be parsed as
+// requests: endpoints got requests that no client had sent. Nor must it count as input that the client sends too early.
+func TestCollectedBodyIsNotParsedAsRequest(t *testing.T) {
+	newProxy := steppedProxies(t, 6<<20)
+	before := map[string]func(s *steppedProxy, client, endpoint *connstate.Conn, next string){
+		"long body, answered by the instance": func(s *steppedProxy, client, endpoint *connstate.Conn, next string) {
+			s.post(client, s.answerEarly(t, client, endpoint, "/_health")+next)
+		},
+		"long body, rejected after its endpoint's end": func(s *steppedProxy, client, endpoint *connstate.Conn, next string) {
+			s.post(client, s.answerEarly(t, client, endpoint, "/step/long")+next)
+		},
+		"pipelined": func(s *steppedProxy, client, endpoint *connstate.Conn, next string) {
+			s.post(client, "GET /step/short HTTP/1.1\r\nHost: o\r\nX-Request-ID: short\r\nX-Timeout: 1\r\n\r\n"+next)
+			s.round()
+			s.post(endpoint, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			s.round()
+		},
+	}
+	try := func(name, next, body string, cut int, responsesWait bool) error {
+		s := newProxy()
+		client, responses := s.client()
+		first, _ := s.idleEndpoint()
+		before[name](s, client, first, next[:cut])
+		_, attempts := s.idleEndpoint()
+		s.post(client, next[cut:len(next)-500])
+		responses.stuck = responsesWait
+		s.round()
+		responses.stuck = false
+		client.Output.Written.Store(client.Output.Queued)
+		s.post(client, next[len(next)-500:])
+		s.round()
+		s.round()
+		requests, bodies := receivedRequests(attempts.written.Bytes())
+		if len(requests) == 1 && requests[0].Header.Get("X-Request-ID") == "next" && bodies[0] == body {
+			return nil
+		}
+		return fmt.Errorf("the endpoint got %d requests with bodies %.80q; connection closed %v, responses %.200q",
+			len(requests), bodies, client.Closing, responses.written.Bytes())
+	}
+	for name := range before {
+		for _, chunked := range []bool{false, true} {
+			for _, headers := range []string{"", "Expect: 100-continue\r\n"} {
+				next, body := nextRequest(headers, chunked)
+				bodyStart := strings.Index(next, "\r\n\r\n") + 4
+				for _, cut := range []int{1, bodyStart - 1, bodyStart, bodyStart + 20, bodyStart + maxBody + 1000} {
+					for _, responsesWait := range []bool{false, true} { // until the kernel takes the response to the next request's head
+						if err := try(name, next, body, cut, responsesWait); err != nil {
+							t.Errorf("%s, then chunked %v, %q, cut at byte %d, responses wait %v: %v", name, chunked, headers, cut, responsesWait, err)
+						}
+					}
+				}
+			}
+		}
+	}
+}
