A client whose long body was complete before its attempt is read from again

Cause: while an endpoint is not ready for a streamed body, forwardUpload and applyBackpressure set Input.Paused on the client's connection. Bytes that the poller had read before are still handled, and may complete the body. From then on nothing resumed reading: writeRequest calls continueUpload only for an incomplete body, and outputDrained needs an attempt that is still in flight.

Change: endUpload is the only place where Upload.State returns to NoUpload, and it resumes reading, so a pause never outlasts the body that it was for. The bytes that follow belong to the next request and have limits of their own.

--- a/internal/httpproxy/admission.go
+++ b/internal/httpproxy/admission.go
@@ -41,7 +41,7 @@
 		if incoming.classKnown {
 			p.CountResult(incoming.class, engine.Failed)
 		}
-		c.Upload.State = connstate.NoUpload
+		p.endUpload(c)
 		p.refuse(now, c, refused)
 		p.buffers.Put(buf)
 		return
--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -119,9 +119,7 @@
 	r := c.Request
 	buf := c.Input.Buffer
 	p.Timers.Stop(&c.Timer)
-	c.Upload.State = connstate.NoUpload
-	c.Upload.ContinueSent = false
-	c.Input.HeadAt = 0
+	p.endUpload(c)
 	c.Input.Buffer = next
 	switch {
 	case collected:
@@ -141,6 +139,16 @@
 	}
 }
 
+// endUpload ends the receipt of a long body. Reading from the client may still be paused because of that body, and
+// nothing else resumes it if the last bytes had been read before the pause: writeRequest calls continueUpload only for
+// an incomplete body, and outputDrained needs an attempt that is still in flight.
+func (p *Proxy) endUpload(c *connstate.Conn) {
+	c.Upload.State = connstate.NoUpload
+	c.Upload.ContinueSent = false
+	c.Input.HeadAt = 0
+	p.resumeReading(c)
+}
+
 // writeBody writes the buffered part of the body to the endpoint.
 func (p *Proxy) writeBody(r *connstate.Request) {
 	p.writeBodyPart(r, r.Body)
@@ -228,6 +236,6 @@
 	if r := c.Request; r != nil {
 		p.abandonRequest(now, c, r)
 	}
-	c.Upload.State = connstate.NoUpload
+	p.endUpload(c)
 	p.refuse(now, c, refused)
 }
--- a/internal/httpproxy/upload_test.go
+++ b/internal/httpproxy/upload_test.go
@@ -5,9 +5,14 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
 
 	"pepperlead/internal/connstate"
 	"pepperlead/policy"
@@ -190,3 +195,121 @@
 		}
 	}
 }
+
+// handle handles the queued events; decisions are carried out at the end of the round.
+func (s *steppedProxy) handle() {
+	for _, e := range slices.Clone(s.sockets.takeEvents()) {
+		s.handleEvent(s.now, e)
+		s.ReportEndedAttempts(s.now)
+	}
+}
+
+// socketClient adds a client connection with a real socket and returns its two ends. Its input is read by s.sockets.read only.
+func (s *steppedProxy) socketClient(t *testing.T) (peer net.Conn, nb *nbio.Conn, c *connstate.Conn) {
+	t.Helper()
+	peer, nb, c = connectedPair(t)
+	c.Side = connstate.ClientSide
+	s.clientConnected(s.now, c)
+	return peer, nb, c
+}
+
+// While a long body waits for its endpoint, reading from the client is paused. Bytes that were read before may complete the body, and
+// then the connection must still carry the client's next request: it was never read, and its client got no answer.
+func TestClientIsReadAfterItsLongBody(t *testing.T) {
+	const pieceSize = 20 << 10
+	respond := func(s *steppedProxy, endpoint *connstate.Conn) {
+		s.post(endpoint, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		s.round()
+	}
+	// obstructed makes an idle connection to the endpoint that accepts no bytes.
+	obstructed := func(s *steppedProxy) {
+		_, socket := s.idleEndpoint()
+		socket.stuck = true
+		s.sockets.maxPending.Store(pieceSize / 2)
+	}
+	newProxy := steppedProxies(t, 6*maxBody) // bodies over maxBody are streamed
+	for name, k := range map[string]struct {
+		oneRound bool // the body is read in the round in which its attempt is decided on
+		prepare  func(s *steppedProxy)
+		finish   func(s *steppedProxy, r *connstate.Request) // from the end of the body to the answer
+		status   int
+	}{
+		"attempt not sent": {true, func(s *steppedProxy) { s.idleEndpoint() }, func(s *steppedProxy, r *connstate.Request) {
+			respond(s, r.AttemptConn)
+		}, 200},
+		"attempt waits for a reusable connection": {true, func(s *steppedProxy) {
+			c, _ := s.idleEndpoint()
+			c.Used, c.IdleSince = true, s.now-reuseDelay+5*policy.Millisecond
+		}, func(s *steppedProxy, r *connstate.Request) {
+			if !r.ReuseTimer.Active() {
+				t.Error("the attempt does not wait for a reusable connection")
+			}
+			s.now += 5 * policy.Millisecond
+			s.round()
+			respond(s, r.AttemptConn)
+		}, 200},
+		"attempt is dialled": {false, func(s *steppedProxy) {
+			blocked := make(chan struct{})
+			t.Cleanup(func() { close(blocked) })
+			s.sockets.connect = func(string, policy.Time) (net.Conn, error) {
+				<-blocked
+				return nil, net.ErrClosed
+			}
+		}, func(s *steppedProxy, r *connstate.Request) {
+			c := r.AttemptConn
+			c.Socket = &recordingSocket{conn: c}
+			s.step(event{kind: eventConnected, conn: c})
+			respond(s, c)
+		}, 200},
+		"endpoint accepts no more and responds": {false, obstructed, func(s *steppedProxy, r *connstate.Request) {
+			respond(s, r.AttemptConn)
+		}, 200},
+		"endpoint accepts no more and closes": {false, obstructed, func(s *steppedProxy, r *connstate.Request) {
+			s.step(event{kind: eventClosed, conn: r.AttemptConn, at: s.now})
+		}, 503},
+		"endpoint accepts no more until the timeout": {false, obstructed, func(s *steppedProxy, r *connstate.Request) {
+			s.TimedOut(s.now, r.Request)
+			s.ReportEndedAttempts(s.now)
+			s.round()
+		}, 503},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %v", name, chunked), func(t *testing.T) {
+				s := newProxy()
+				k.prepare(s)
+				peer, nb, c := s.socketClient(t)
+				message, _ := nextRequest("", chunked)
+				for len(message) > pieceSize {
+					s.post(c, message[:pieceSize])
+					message = message[pieceSize:]
+					if s.handle(); !k.oneRound {
+						s.round()
+					}
+				}
+				if c.Upload.State != connstate.StreamingUpload || !c.Input.Paused.Load() {
+					t.Fatalf("the body is not paused while it is streamed: state %v, paused %v", c.Upload.State, c.Input.Paused.Load())
+				}
+				s.post(c, message)
+				s.handle()
+				r := c.Request
+				s.round()
+				k.finish(s, r)
+				peer.SetDeadline(time.Now().Add(5 * time.Second))
+				answer, err := http.ReadResponse(bufio.NewReader(peer), nil)
+				if err != nil || answer.StatusCode != k.status {
+					t.Fatalf("got response %v, error %v, want status %d", answer, err, k.status)
+				}
+				fmt.Fprint(peer, "GET /step/b HTTP/1.1\r\nHost: o\r\nX-Request-ID: 2\r\nX-Timeout: 1\r\n\r\n")
+				for range 200 { // until the request has arrived at this end
+					s.sockets.read(nb)
+					s.round()
+					if s.Counters.Requests == 2 {
+						return
+					}
+					time.Sleep(time.Millisecond)
+				}
+				t.Errorf("the next request on the connection was not read; reading paused: %v", c.Input.Paused.Load())
+			})
+		}
+	}
+}
