A long body that is complete during a shutdown is answered before it ends

Cause: Balancer.Shutdown bounds the deadlines of the requests that are there, and Admit those of later ones, but BodyPending, which replaces the deadline when the body begins and again when it is complete, bounded neither. Told from a missed wake-up by a trial on an instance that does not run: with the deadline bounded, the wake-ups that Shutdown and the attempt have requested are enough.

Without a shutdown the bound is the constant never, so nothing else changes.

--- a/policy/concurrencylimit_test.go
+++ b/policy/concurrencylimit_test.go
@@ -174,4 +174,34 @@
 	}
 }
 
+// A shutdown begins before, while or after the body of a request arrives, and the attempt never ends. The request is answered before the
+// end of the shutdown. Where the body was complete after the shutdown had begun, or never, its client got no answer.
+func TestPendingBodiesAreAnsweredBeforeShutdownEnds(t *testing.T) {
+	const now, by = 2 * Second, 3 * Second
+	for shutdownAfter, name := range []string{"nothing", "the head", "the body"} {
+		for steps := max(1, shutdownAfter); steps <= 2; steps++ {
+			b, front := newTestBalancer(testMembers(1, "a"))
+			var handle Handle
+			for step := range steps + 1 {
+				switch step {
+				case 1:
+					handle = b.Admit(now, 0, NoTenant, "", false, 60*Second)
+					b.Begin(now, handle)
+					b.BodyPending(handle, false, 0)
+				case 2:
+					b.BodyPending(handle, true, now+60*Second)
+				}
+				if step == shutdownAfter {
+					b.Shutdown(now, by)
+				}
+			}
+			b.Woken(by - b.settings.answerMargin())
+			if len(front.sentTo) != 1 || !b.requests.lookup(handle).answered {
+				t.Errorf("shutdown after %s, body complete %v: %d attempts, answered %v",
+					name, steps == 2, len(front.sentTo), b.requests.lookup(handle).answered)
+			}
+		}
+	}
+}
+
 func (b *Balancer) processingAt(index int) int { return b.table.endpoints[index].processing() }
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -162,7 +162,8 @@
 
 // BodyPending is called with complete false if the body of an admitted request is not complete yet, and with
 // complete true once it is. In the second case, deadline is the request's deadline from then on. Between the
-// two calls, the request has no deadline and its attempt counts against no limit.
+// two calls, the request has no deadline and its attempt counts against no limit. During a shutdown, the end
+// of the shutdown is the deadline in both cases, if the given one is not earlier.
 func (b *Balancer) BodyPending(handle Handle, complete bool, deadline Time) {
 	r := b.requests.lookup(handle)
 	if r == nil || r.answered || r.bodyPending != complete {
@@ -171,9 +172,9 @@
 	index := r.lastTried()
 	b.countBodyPending(r, index, -r.inFlight)
 	r.bodyPending = !complete
-	r.deadline = deadline
-	if !complete {
-		r.deadline = never
+	r.deadline = b.shutdownAt
+	if complete {
+		r.deadline = min(deadline, b.shutdownAt)
 	}
 	b.countBodyPending(r, index, r.inFlight)
 }
