--- a/internal/connstate/conn.go
+++ b/internal/connstate/conn.go
@@ -127,6 +127,11 @@
 	CloseAfter   bool // the connection closes after the body
 }
 
+// Vacant reports whether the connection carries neither a request nor a part of one.
+func (c *Conn) Vacant() bool {
+	return c.Request == nil && c.Input.Buffer == nil && c.Upload.State == NoUpload
+}
+
 // RecordWritten adds n to the bytes that the kernel has accepted and returns their total. If the last byte of a request
 // is among them, it counts the request as written.
 func (c *Conn) RecordWritten(n int) int64 {
--- a/internal/httpproxy/proxy.go
+++ b/internal/httpproxy/proxy.go
@@ -245,25 +245,3 @@
 func (p *Proxy) Released(request *engine.Request) {
 	connstate.AsRequest(request).ReleaseBuffers(p.buffers)
 }
-
-// endpointConns returns the connections that this front keeps to an endpoint.
-func (p *Proxy) endpointConns(endpoint *engine.Endpoint) *connstate.Endpoint {
-	if endpoint.FrontData[p.frontIndex] == nil {
-		endpoint.FrontData[p.frontIndex] = &connstate.Endpoint{Endpoint: endpoint}
-	}
-	return endpoint.FrontData[p.frontIndex].(*connstate.Endpoint)
-}
-
-// CloseIdle closes the idle connections to an endpoint.
-func (p *Proxy) CloseIdle(endpoint *engine.Endpoint) {
-	conns := p.endpointConns(endpoint)
-	for len(conns.Idle) > 0 {
-		last := len(conns.Idle) - 1
-		c := conns.Idle[last]
-		conns.Idle = conns.Idle[:last]
-		p.closeConn(c)
-	}
-}
-
-// Forget has nothing to do when an endpoint is removed: connections still in use are closed when they become idle.
-func (p *Proxy) Forget(*engine.Endpoint) {}
--- a/internal/httpproxy/shutdown.go
+++ b/internal/httpproxy/shutdown.go
@@ -73,8 +73,7 @@
 		}
 		connected = true
 		recent := p.sharesListener() && keepRecent && now-c.IdleSince < recentUseTime
-		idle := c.Request == nil && c.Input.Buffer == nil && !c.Output.CloseWhenFlushed &&
-			c.Upload.State == connstate.NoUpload
+		idle := c.Vacant() && !c.Output.CloseWhenFlushed
 		if idle && !recent && c.Socket.CloseIfIdle(c) {
 			p.conns.MarkClosing(c)
 		}
