A timed-out attempt is never whole at its endpoint after its repeat has run

What callers saw: a keyed request ran twice. Its first attempt timed out at a slow endpoint while the end of the request lay in this machine's kernel; the repeat ran elsewhere, and the kernel went on sending after the connection had been closed, so the first attempt became whole when the endpoints had forgotten the key.

Cause: an attempt counted as written once the kernel had accepted its last byte. With a body of 1 MiB that is at once, however slowly the endpoint reads.

Change: the last byte of a request of more than 4 KiB is withheld until the endpoint's kernel has acknowledged all bytes before it (SIOCOUTQ). Until then the connection is not flushed, so an attempt that ends counts as never processed, and it never is.

--- a/internal/connstate/conn.go
+++ b/internal/connstate/conn.go
@@ -21,6 +21,9 @@
 	DiscardInput()
 	// Reset resets the connection, so that the peer does not see an orderly close.
 	Reset()
+	// Unacknowledged returns how many bytes the kernel has accepted and the peer's kernel has not acknowledged. ok is false if that
+	// is not known.
+	Unacknowledged() (bytes int, ok bool)
 }
 
 // Side tells whether the peer of a connection is a client or an endpoint.
--- a/internal/connstate/request.go
+++ b/internal/connstate/request.go
@@ -28,9 +28,19 @@
 	ReuseTimer      engine.Timer     // active while the attempt waits
 	ReuseAwaited    bool             // this attempt has waited already, and must not wait again
 
+	LastByte LastByte
 	Response Response
 }
 
+// LastByte is the last byte of a long request, which is withheld until the endpoint has received all bytes before it. Until it is
+// written, the endpoint cannot process the request.
+type LastByte struct {
+	Withheld bool
+	Value    byte
+	Since    policy.Time  // when the bytes before it were passed to the connection
+	Timer    engine.Timer // checks again whether it may be written
+}
+
 // RequestUpload is the state of a request body that is forwarded as it arrives.
 type RequestUpload struct {
 	Active    bool    // the body is not complete yet
@@ -90,5 +100,9 @@
 	p.Put(r.Received)
 	p.Put(r.Response.Buffer)
 	p.Put(r.Upload.Buffer)
-	*r = Request{Request: r.Request, ReuseTimer: engine.Timer{Run: r.ReuseTimer.Run}}
+	*r = Request{
+		Request:    r.Request,
+		ReuseTimer: engine.Timer{Run: r.ReuseTimer.Run},
+		LastByte:   LastByte{Timer: engine.Timer{Run: r.LastByte.Timer.Run}},
+	}
 }
--- a/internal/httpproxy/attempts.go
+++ b/internal/httpproxy/attempts.go
@@ -68,7 +68,7 @@
 		c.Output.CompleteAt.Store(c.Output.Queued + int64(len(p.scratch)+size))
 		p.write(c, p.scratch)
 		r.Upload.Size = size
-		p.writeBody(r)
+		p.writeLongBody(now, r)
 	}
 }
 
--- a/internal/httpproxy/socket.go
+++ b/internal/httpproxy/socket.go
@@ -147,6 +147,18 @@
 	return s.nb.Write(b)
 }
 
+// Unacknowledged returns how many bytes the kernel has accepted and the peer's kernel has not acknowledged. ok is false if the socket
+// has ended, or if the kernel cannot tell.
+func (s *socket) Unacknowledged() (bytes int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return 0, false
+	}
+	bytes, err := unix.IoctlGetInt(s.fd, unix.SIOCOUTQ)
+	return bytes, err == nil
+}
+
 // shutdown shuts the socket down, as its peer has sent more than is accepted. s.mu must be held.
 func (s *socket) shutdown() {
 	if !s.ended && !s.readShut {
