A retry is whole within its deduplication window or is never whole

Its retry began inside the window of 2 s, the slow endpoint took the body for 3.5 s, and its last byte came 1.5 s after the endpoints had forgotten the key.

Cause: the window was compared with the moments in which the retry was decided on and begun (mayRepeatOn, AttemptStillValid). An endpoint runs a request when the last byte has come, and nothing looked at the window then.

Change: before the withheld last byte is written, the module says by when the attempt must have arrived (ArriveBy), under the settings and rules of that moment, so a window that new settings shorten counts too. An attempt whose request is answered and not written completely ends with the answer, also where attempts may not be cancelled.

--- a/internal/connstate/request.go
+++ b/internal/connstate/request.go
@@ -32,13 +32,14 @@
 	Response Response
 }
 
-// LastByte is the last byte of a long request, which is withheld until the endpoint has received all bytes before it. Until it is
-// written, the endpoint cannot process the request.
+// LastByte is the last byte of a long request, which is withheld until the endpoint has received all bytes before it.
+// Until it is written, the endpoint cannot process the request.
 type LastByte struct {
-	Withheld bool
-	Value    byte
-	Since    policy.Time  // when the bytes before it were passed to the connection
-	Timer    engine.Timer // checks again whether it may be written
+	Value        byte
+	Before       int64        // number of bytes of the request before it
+	Since        policy.Time  // when writing of the request began
+	WidestWindow int64        // widest receive window that the endpoint has advertised meanwhile, in bytes; 0: unknown
+	Timer        engine.Timer // checks again whether it may be written
 }
 
 // RequestUpload is the state of a request body that is forwarded as it arrives.
--- a/internal/engine/activerules.go
+++ b/internal/engine/activerules.go
@@ -141,6 +141,13 @@
 	return request.rulesVersion == e.rulesVersion() || e.Module.AttemptAllowed(now, request.Handle)
 }
 
+// ArriveBy returns the time before which the request's latest attempt must have arrived at its endpoint completely,
+// under the rules that are in force now. limited is false if it may arrive at any time.
+func (e *Engine) ArriveBy(request *Request) (by policy.Time, limited bool) {
+	e.applyRules()
+	return e.Module.ArriveBy(request.Handle)
+}
+
 // applyRules applies the current rules if they have changed. A lease may have expired since the loop last checked, or
 // while the process was suspended.
 func (e *Engine) applyRules() {
--- a/internal/httpproxy/attempts.go
+++ b/internal/httpproxy/attempts.go
@@ -65,10 +65,8 @@
 		c.Output.CompleteAt.Store(c.Output.Queued + int64(len(p.scratch)))
 		p.write(c, p.scratch)
 	default:
-		c.Output.CompleteAt.Store(c.Output.Queued + int64(len(p.scratch)+size))
-		p.write(c, p.scratch)
 		r.Upload.Size = size
-		p.writeLongBody(now, r)
+		p.writeLongRequest(now, r)
 	}
 }
 
@@ -172,6 +170,15 @@
 	return !c.Flushed()
 }
 
+// endUnwritten ends the attempt of a request that needs no response any more, unless the request is written completely.
+// The endpoint never receives the rest of the request, so it cannot process it, and ending the attempt is allowed even
+// if attempts may not be cancelled.
+func (p *Proxy) endUnwritten(now policy.Time, r *connstate.Request) {
+	if hasAttempt(r) && p.abortUnwritten(r) {
+		p.endAttempt(now, r, policy.Cancelled, false)
+	}
+}
+
 // CancelAttempt ends an attempt whose response is no longer needed.
 func (p *Proxy) CancelAttempt(now policy.Time, request *engine.Request) {
 	r := connstate.AsRequest(request)
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -248,11 +248,7 @@
 	r.Client = nil
 	p.requests.Remove(r)
 	p.ClientLeft(now, r.Request)
-	if hasAttempt(r) && p.abortUnwritten(r) {
-		// The endpoint never receives the rest of the request, so it cannot process it, and ending the attempt is
-		// allowed even if attempts may not be cancelled.
-		p.endAttempt(now, r, policy.Cancelled, false)
-	}
+	p.endUnwritten(now, r)
 }
 
 // skipEmptyLines removes empty lines before a request, as some clients send them after a body.
--- a/internal/httpproxy/lastbyte_test.go
+++ b/internal/httpproxy/lastbyte_test.go
@@ -7,12 +7,16 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"pepperlead/policy"
 )
 
+// socketSlack is how much longer than configured a time limit may be on sockets.
+const socketSlack = 50 * time.Millisecond
+
 // wholeRequests records when requests have been read to their last byte, by any of several endpoints.
 type wholeRequests struct {
 	mu     sync.Mutex
@@ -87,6 +91,89 @@
 		lastID, lastID, framing, strings.Repeat("x", n), end)
 }
 
+// Guards against a second effect: a repeat of a keyed request that began in the deduplication window must not be whole at a slow
+// endpoint after the window. If it cannot be, the client gets its answer at once.
+func TestRepeatIsWholeWithinItsWindow(t *testing.T) {
+	for name, k := range map[string]struct {
+		size       int
+		rate       int // of the second endpoint, in bytes per second; 0: fast
+		chunked    bool
+		window     policy.Time
+		shortened  policy.Time   // window of settings applied while the repeat is written; 0: none
+		dialFor    time.Duration // how long the dial of the repeat takes
+		wantStatus int
+	}{
+		"long body":                       {size: 2 << 20, rate: 1e6, window: policy.Second, wantStatus: 502},
+		"long body in chunks":             {size: 2 << 20, rate: 1e6, chunked: true, window: policy.Second, wantStatus: 502},
+		"all fits into the kernel":        {size: 300 << 10, rate: 200e3, window: policy.Second, wantStatus: 502},
+		"all fits into the endpoint":      {size: 60 << 10, rate: 50e3, window: 700 * policy.Millisecond, wantStatus: 502},
+		"late connection":                 {size: 2 << 20, rate: 3e6, dialFor: 600 * time.Millisecond, window: policy.Second, wantStatus: 502},
+		"window shortened":                {size: 2 << 20, rate: 1e6, window: 3 * policy.Second, shortened: policy.Second, wantStatus: 502},
+		"fast endpoint, long body":        {size: 2 << 20, window: policy.Second, wantStatus: 200},
+		"fast endpoint, short body":       {size: 20 << 10, window: policy.Second, wantStatus: 200},
+		"slow endpoint, whole in time":    {size: 1 << 20, rate: 2e6, window: 2 * policy.Second, wantStatus: 200},
+		"slow endpoint, small, long time": {size: 60 << 10, rate: 200e3, window: 3 * policy.Second, wantStatus: 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			requests := &wholeRequests{behave: func(n int) requestHandling {
+				if n == 1 {
+					return requestHandling{reset: true}
+				}
+				return requestHandling{bytesPerSecond: k.rate}
+			}}
+			var config Config
+			r, _ := startProxy(t, func(p *Config) {
+				p.Settings.Classes[1].Target = 3 * policy.Second
+				p.Settings.Classes[1].LateValue = 0.5
+				p.Settings.Classes[1].Window = k.window
+				p.ConnectTimeout = 2 * policy.Second
+				config = *p
+			}, requests.endpoint(t), requests.endpoint(t))
+			begun, release := r.blockDials(2)
+			go func() {
+				<-begun
+				time.Sleep(k.dialFor)
+				close(release)
+			}()
+			c := r.client()
+			c.sendNote(k.size, k.chunked)
+			if k.shortened > 0 {
+				r.waitUntil("the repeat is written", func() bool { return r.Counters.Attempts == 2 })
+				time.Sleep(100 * time.Millisecond)
+				settings := *config.Settings
+				settings.Classes = append([]policy.Class(nil), settings.Classes...)
+				settings.Classes[1].Window = k.shortened
+				config.Settings = &settings
+				r.configs <- config
+			}
+			answer, _ := c.receive()
+			answered := time.Now()
+			time.Sleep(3*time.Second - time.Duration(k.window)/2) // a late request would become whole meanwhile
+			r.shutdown()
+			window := time.Duration(k.window)
+			if k.shortened > 0 {
+				window = time.Duration(k.shortened)
+			}
+			whole := requests.times()
+			if len(whole) == 0 {
+				t.Fatal("the first attempt was never whole")
+			}
+			for _, at := range whole[1:] {
+				if late := at.Sub(whole[0]) - window; late > socketSlack {
+					t.Errorf("the repeat was whole %v after the end of the window of %v", late, window)
+				}
+			}
+			if answer.StatusCode != k.wantStatus {
+				t.Errorf("got status %d, want %d", answer.StatusCode, k.wantStatus)
+			}
+			if waited := answered.Sub(whole[0]); waited > window+4*socketSlack {
+				t.Errorf("the client was answered %v after the first attempt, with a window of %v", waited, window)
+			}
+		})
+	}
+}
+
 // Guards against a second effect: an attempt that has timed out while its request lay in this machine's kernel must not become whole at
 // its endpoint later, when the repeat has been processed elsewhere and its window has ended.
 func TestTimedOutAttemptIsNotWholeLater(t *testing.T) {
@@ -121,3 +208,48 @@
 		})
 	}
 }
+
+// Guards against an effect after the final answer: an attempt whose last byte is withheld does not become whole once its client has left or
+// the shutdown has ended, also where attempts may not be cancelled.
+func TestUnwantedAttemptIsNotCompleted(t *testing.T) {
+	for name, end := range map[string]func(r *runningProxy, c *testClient){
+		"client leaves": func(r *runningProxy, c *testClient) {
+			c.Close()
+			r.waitUntil("the disconnect is noticed", func() bool { return r.Counters.ClientsDisconnected == 1 })
+		},
+		"shutdown": func(r *runningProxy, c *testClient) {
+			r.stop <- syscall.SIGTERM
+			began := time.Now()
+			answer, _ := c.receive()
+			if took := time.Since(began); answer.StatusCode != 502 || took > time.Duration(r.config.ShutdownTime) {
+				t.Errorf("got status %d %v after SIGTERM, want 502 within %d ms", answer.StatusCode, took, r.config.ShutdownTime/policy.Millisecond)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const rate = 500_000 // bytes per second
+			requests := &wholeRequests{behave: func(n int) requestHandling {
+				if n == 1 {
+					return requestHandling{reset: true}
+				}
+				return requestHandling{bytesPerSecond: rate}
+			}}
+			r, _ := startProxy(t, func(p *Config) {
+				p.Settings.MayCancel = false
+				p.Settings.Classes[1].Target = 3 * policy.Second
+				p.Settings.Classes[1].LateValue = 0.5
+				p.Settings.Classes[1].Window = 10 * policy.Second
+			}, requests.endpoint(t), requests.endpoint(t))
+			c := r.client()
+			c.sendNote(2*rate, false)
+			r.waitUntil("the repeat is written", func() bool { return r.Counters.Attempts == 2 })
+			time.Sleep(100 * time.Millisecond)
+			end(r, c)
+			time.Sleep(2500 * time.Millisecond)
+			if whole := requests.times(); len(whole) != 1 {
+				t.Errorf("attempts were whole at %v, want only the first", whole)
+			}
+		})
+	}
+}
--- a/internal/httpproxy/proxy_test.go
+++ b/internal/httpproxy/proxy_test.go
@@ -236,6 +236,7 @@
 func (k *recordingSocket) DiscardInput()                    {}
 func (k *recordingSocket) Reset()                           {}
 func (k *recordingSocket) Unacknowledged() (int, bool)      { return 0, true }
+func (k *recordingSocket) PeerWindow() int                  { return 0 }
 func (k *recordingSocket) Idle(*connstate.Conn) bool        { return !k.hasInput }
 
 // newStoppedProxy returns an instance that has one endpoint and does not run, and a function that adds a connection without a real
--- a/internal/httpproxy/responses.go
+++ b/internal/httpproxy/responses.go
@@ -86,6 +86,7 @@
 		response := localResponse{http.StatusServiceUnavailable, "turned back\n", retryAfter}
 		p.respond(now, c, response, r.CloseAfter)
 	}
+	p.endUnwritten(now, r)
 }
 
 // Fail answers a request that the decision module has given up as failed.
@@ -95,6 +96,7 @@
 		p.Counters.Failed++
 		p.respond(now, c, localResponse{status: http.StatusBadGateway, body: "given up\n"}, r.CloseAfter)
 	}
+	p.endUnwritten(now, r)
 }
 
 // rejectForMemory answers a request for which there is not enough memory.
--- a/internal/httpproxy/socket.go
+++ b/internal/httpproxy/socket.go
@@ -147,8 +147,8 @@
 	return s.nb.Write(b)
 }
 
-// Unacknowledged returns how many bytes the kernel has accepted and the peer's kernel has not acknowledged. ok is false if the socket
-// has ended, or if the kernel cannot tell.
+// Unacknowledged returns how many bytes the kernel has accepted and the peer's kernel has not acknowledged. ok is false
+// if the socket has ended, or if the kernel cannot tell.
 func (s *socket) Unacknowledged() (bytes int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -159,6 +159,21 @@
 	return bytes, err == nil
 }
 
+// PeerWindow returns the receive window that the peer has advertised last, in bytes; 0 if the socket has ended, or if
+// the kernel cannot tell.
+func (s *socket) PeerWindow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return 0
+	}
+	info, err := unix.GetsockoptTCPInfo(s.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return int(info.Snd_wnd)
+}
+
 // shutdown shuts the socket down, as its peer has sent more than is accepted. s.mu must be held.
 func (s *socket) shutdown() {
 	if !s.ended && !s.readShut {
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -150,28 +150,6 @@
 	return !slices.Contains(r.triedEndpoints(), index)
 }
 
-// mayRepeatOn reports whether a request that may have run can safely be sent to the endpoint.
-func (b *Balancer) mayRepeatOn(now Time, r *request, e *endpoint) bool {
-	class := b.class(r)
-	switch class.Idempotency {
-	case Idempotent:
-		return true
-	case NonIdempotent:
-		return false
-	}
-	if now+b.settings.answerMargin() >= r.ranAt+class.Window {
-		return false
-	}
-	ranOn := &b.table.endpoints[r.ranOn]
-	switch class.Group {
-	case GroupZone:
-		return ranOn.Zone == e.Zone
-	case GroupCell:
-		return ranOn.Cell == e.Cell
-	}
-	return true
-}
-
 // isUsable reports whether the endpoint's ejection, slow start and cold budget allow an attempt now.
 func (b *Balancer) isUsable(now Time, e *endpoint) bool {
 	if now < e.ejectedUntil || e.slowStart > 0 && e.inFlight >= e.slowStart {
