A closed connection delivers nothing that its endpoint has not acknowledged

What callers saw: a keyed request with a short body ran twice. Its first attempt went to an endpoint whose machine took nothing more (a full receive buffer; a machine that is cut off acts alike), timed out, and its retry ran elsewhere. The kernel of this machine kept the request after the close, went on sending it, and the first endpoint ran it when the others had forgotten the key.

Cause: connections of ended attempts were shut down in order, which sends what the kernel still holds. The last byte of a short request is written with the rest, so withholding it does not help there.

Change: a connection to an endpoint is reset when it is closed with unacknowledged bytes, and the kernel drops them.

Result: the case "short body is not received" of TestTimedOutAttemptIsNotWholeLater failed before (whole 1.7 s after the retry, window 1 s) and passes now.

--- a/internal/httpproxy/lastbyte_test.go
+++ b/internal/httpproxy/lastbyte_test.go
@@ -27,17 +27,22 @@
 
 // requestHandling is what an endpoint does with a request.
 type requestHandling struct {
-	bytesPerSecond int  // rate at which the body is read; 0: as fast as possible
-	reset          bool // the connection is reset once the request is whole
+	pause          time.Duration // before the body is read
+	bytesPerSecond int           // rate at which the body is read; 0: as fast as possible
+	reset          bool          // the connection is reset once the request is whole
 }
 
-// endpoint starts an endpoint and returns its address.
-func (w *wholeRequests) endpoint(t *testing.T) string {
-	addr, _ := scriptedEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+// smallReceiveBuffer makes the kernel of an endpoint accept only 1 to 2 kB before the endpoint reads.
+const smallReceiveBuffer = 1 << 10 // bytes
+
+// endpoint starts an endpoint and returns its address. The size of its receive buffer is chosen by the kernel if it is 0.
+func (w *wholeRequests) endpoint(t *testing.T, receiveBuffer int) string {
+	addr, _ := scriptedEndpointOn(t, receiveBuffer, func(c net.Conn, r *http.Request, _ int) bool {
 		w.mu.Lock()
 		w.begun++
 		handling := w.behave(w.begun)
 		w.mu.Unlock()
+		time.Sleep(handling.pause)
 		if !readAtRate(r.Body, handling.bytesPerSecond) {
 			return false
 		}
@@ -96,12 +101,15 @@
 func TestRepeatIsWholeWithinItsWindow(t *testing.T) {
 	for name, k := range map[string]struct {
 		size       int
-		rate       int // of the second endpoint, in bytes per second; 0: fast
+		rate       int           // of the second endpoint, in bytes per second; 0: fast
+		pause      time.Duration // before the second endpoint reads the body
 		chunked    bool
 		window     policy.Time
 		shortened  policy.Time   // window of settings applied while the repeat is written; 0: none
 		dialFor    time.Duration // how long the dial of the repeat takes
 		wantStatus int
+
+		receiveBuffer int // of the endpoints, in bytes; 0: the kernel's choice
 	}{
 		"long body":                       {size: 2 << 20, rate: 1e6, window: policy.Second, wantStatus: 502},
 		"long body in chunks":             {size: 2 << 20, rate: 1e6, chunked: true, window: policy.Second, wantStatus: 502},
@@ -120,7 +128,7 @@
 				if n == 1 {
 					return requestHandling{reset: true}
 				}
-				return requestHandling{bytesPerSecond: k.rate}
+				return requestHandling{bytesPerSecond: k.rate, pause: k.pause}
 			}}
 			var config Config
 			r, _ := startProxy(t, func(p *Config) {
@@ -129,7 +137,7 @@
 				p.Settings.Classes[1].Window = k.window
 				p.ConnectTimeout = 2 * policy.Second
 				config = *p
-			}, requests.endpoint(t), requests.endpoint(t))
+			}, requests.endpoint(t, k.receiveBuffer), requests.endpoint(t, k.receiveBuffer))
 			begun, release := r.blockDials(2)
 			go func() {
 				<-begun
@@ -178,16 +186,20 @@
 // its endpoint later, when the repeat has been processed elsewhere and its window has ended.
 func TestTimedOutAttemptIsNotWholeLater(t *testing.T) {
 	for name, k := range map[string]struct {
-		size, rate int
+		size          int
+		rate          int           // of the first endpoint, in bytes per second
+		pause         time.Duration // before the first endpoint reads the body
+		receiveBuffer int           // of the endpoints, in bytes; 0: the kernel's choice
 	}{
-		"all fits into the kernel": {1 << 20, 400e3},
-		"long body":                {4 << 20, 1e6},
+		"all fits into the kernel":   {size: 1 << 20, rate: 400e3},
+		"long body":                  {size: 4 << 20, rate: 1e6},
+		"short body is not received": {size: 4000, rate: 1e6, pause: 2 * time.Second, receiveBuffer: smallReceiveBuffer},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			requests := &wholeRequests{behave: func(n int) requestHandling {
 				if n == 1 {
-					return requestHandling{bytesPerSecond: k.rate}
+					return requestHandling{bytesPerSecond: k.rate, pause: k.pause}
 				}
 				return requestHandling{}
 			}}
@@ -195,13 +207,13 @@
 				p.Settings.Classes[1].Target = 150 * policy.Millisecond
 				p.Settings.Classes[1].LateValue = 0.5
 				p.Settings.Classes[1].Window = policy.Second
-			}, requests.endpoint(t), requests.endpoint(t))
+			}, requests.endpoint(t, k.receiveBuffer), requests.endpoint(t, k.receiveBuffer))
 			c := r.client()
 			c.sendNote(k.size, false)
 			if answer, _ := c.receive(); answer.StatusCode != 200 {
 				t.Errorf("got status %d, want 200", answer.StatusCode)
 			}
-			time.Sleep(time.Duration(k.size)*time.Second/time.Duration(k.rate) + 500*time.Millisecond)
+			time.Sleep(time.Duration(k.size)*time.Second/time.Duration(k.rate) + k.pause + 500*time.Millisecond)
 			if whole := requests.times(); len(whole) != 1 {
 				t.Errorf("attempts were whole at %v, want one", whole)
 			}
@@ -240,7 +252,7 @@
 				p.Settings.Classes[1].Target = 3 * policy.Second
 				p.Settings.Classes[1].LateValue = 0.5
 				p.Settings.Classes[1].Window = 10 * policy.Second
-			}, requests.endpoint(t), requests.endpoint(t))
+			}, requests.endpoint(t, 0), requests.endpoint(t, 0))
 			c := r.client()
 			c.sendNote(2*rate, false)
 			r.waitUntil("the repeat is written", func() bool { return r.Counters.Attempts == 2 })
--- a/internal/httpproxy/socket.go
+++ b/internal/httpproxy/socket.go
@@ -147,11 +147,30 @@
 	return s.nb.Write(b)
 }
 
+// dropUnacknowledged makes the kernel drop the bytes that the peer has not acknowledged, and send a reset, when the
+// descriptor is closed. Otherwise it goes on sending them, for minutes if the peer is cut off, and an endpoint would
+// process a request long after its attempt has ended. s.mu must be held.
+func (s *socket) dropUnacknowledged() {
+	if bytes, known := s.unacknowledged(); known && bytes > 0 {
+		s.resetOnClose()
+	}
+}
+
+// resetOnClose makes the kernel send a reset when the descriptor is closed. s.mu must be held.
+func (s *socket) resetOnClose() {
+	// This fails only if the peer has already ended the socket.
+	_ = unix.SetsockoptLinger(s.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+}
+
 // Unacknowledged returns how many bytes the kernel has accepted and the peer's kernel has not acknowledged. ok is false
 // if the socket has ended, or if the kernel cannot tell.
 func (s *socket) Unacknowledged() (bytes int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.unacknowledged()
+}
+
+func (s *socket) unacknowledged() (bytes int, ok bool) {
 	if s.ended {
 		return 0, false
 	}
@@ -183,13 +202,16 @@
 }
 
 // Close shuts the socket down in both directions; the poller notices that and closes the descriptor. After Close
-// returns, no more bytes are sent, and Conn.Output.Written counts all bytes that were.
+// returns, no more bytes are passed to the kernel, and Conn.Output.Written counts all bytes that were.
 func (s *socket) Close() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
 		return nil
 	}
+	if s.nb.Session().(*connstate.Conn).Side == connstate.EndpointSide {
+		s.dropUnacknowledged()
+	}
 	err := syscall.Shutdown(s.fd, syscall.SHUT_RDWR)
 	_, _ = s.nb.Write(nil) // waits for a write by nbio that is in progress
 	return err
@@ -205,7 +227,6 @@
 		return
 	}
 	s.readShut = true
-	// Both calls fail only if the peer has already ended the socket.
-	_ = unix.SetsockoptLinger(s.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
-	_ = syscall.Shutdown(s.fd, syscall.SHUT_RD)
+	s.resetOnClose()
+	_ = syscall.Shutdown(s.fd, syscall.SHUT_RD) // fails only if the peer has already ended the socket
 }
--- a/internal/httpproxy/stream_test.go
+++ b/internal/httpproxy/stream_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -63,7 +64,23 @@
 // the connection when serve returns false. seen counts the requests.
 func scriptedEndpoint(t *testing.T, serve func(c net.Conn, r *http.Request, n int) bool) (addr string, seen *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", loopbackAddr)
+	return scriptedEndpointOn(t, 0, serve)
+}
+
+// scriptedEndpointOn is like scriptedEndpoint, for an endpoint whose receive buffers have a given size in bytes; 0: the kernel's choice.
+func scriptedEndpointOn(
+	t *testing.T, receiveBuffer int, serve func(c net.Conn, r *http.Request, n int) bool,
+) (addr string, seen *atomic.Int64) {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		if receiveBuffer > 0 {
+			c.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			})
+		}
+		return err
+	}}
+	l, err := config.Listen(t.Context(), "tcp", loopbackAddr)
 	if err != nil {
 		t.Fatal(err)
 	}
