A retry that its endpoint has not acknowledged by the end of the window is taken back

What callers saw: a keyed request with a short body ran twice. Its retry was written inside the window to an endpoint whose machine took nothing more; the kernel of this machine kept it, and the endpoint ran it after the window.

Cause: a short request is written whole at once, and nothing looked at it again before the timeout of the attempt.

Change: a retry is watched after its last byte is written, until the endpoint's kernel has acknowledged it. If that has not happened by the time that the module gives (ArriveBy), the attempt ends as timed out and its connection is reset, so the kernel drops the rest. What lastbyte.go did stands in delivery.go with it.

First attempts with short bodies pay nothing. The tests of this file start their instances one after the other, as nbio has a global setting that the race detector reports.

--- a/internal/connstate/request.go
+++ b/internal/connstate/request.go
@@ -28,18 +28,20 @@
 	ReuseTimer      engine.Timer     // active while the attempt waits
 	ReuseAwaited    bool             // this attempt has waited already, and must not wait again
 
-	LastByte LastByte
+	Delivery Delivery
 	Response Response
 }
 
-// LastByte is the last byte of a long request, which is withheld until the endpoint has received all bytes before it.
-// Until it is written, the endpoint cannot process the request.
-type LastByte struct {
-	Value        byte
-	Before       int64        // number of bytes of the request before it
+// Delivery is the progress of a request on its way to the endpoint of its attempt. Only long requests and retries have
+// one. The last byte of a long request is withheld until the endpoint has received all others; until it is written, the
+// endpoint cannot process the request.
+type Delivery struct {
+	LastByte     byte
+	Withheld     bool         // LastByte is not written yet
+	Length       int64        // length of the request in bytes
 	Since        policy.Time  // when writing of the request began
 	WidestWindow int64        // widest receive window that the endpoint has advertised meanwhile, in bytes; 0: unknown
-	Timer        engine.Timer // checks again whether it may be written
+	Timer        engine.Timer // continues the delivery
 }
 
 // RequestUpload is the state of a request body that is forwarded as it arrives.
@@ -104,6 +106,6 @@
 	*r = Request{
 		Request:    r.Request,
 		ReuseTimer: engine.Timer{Run: r.ReuseTimer.Run},
-		LastByte:   LastByte{Timer: engine.Timer{Run: r.LastByte.Timer.Run}},
+		Delivery:   Delivery{Timer: engine.Timer{Run: r.Delivery.Timer.Run}},
 	}
 }
--- a/internal/httpproxy/attempts.go
+++ b/internal/httpproxy/attempts.go
@@ -62,11 +62,10 @@
 		p.continueUpload(r)
 	case len(r.Body) <= connstate.SmallBuffer && r.Upload.Buffer == nil:
 		p.scratch = append(p.scratch, r.Body...)
-		c.Output.CompleteAt.Store(c.Output.Queued + int64(len(p.scratch)))
-		p.write(c, p.scratch)
+		p.deliverShort(now, r)
 	default:
 		r.Upload.Size = size
-		p.writeLongRequest(now, r)
+		p.deliverLong(now, r)
 	}
 }
 
--- a/internal/httpproxy/lastbyte_test.go
+++ b/internal/httpproxy/delivery_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"pepperlead/internal/connstate"
 	"pepperlead/policy"
 )
 
@@ -83,8 +84,8 @@
 	return append([]time.Time(nil), w.whole...)
 }
 
-// sendNote sends a keyed request with a body of n bytes, optionally in chunks. Its client waits for 4 s.
-func (c *testClient) sendNote(n int, chunked bool) {
+// noteMessage returns a keyed request with a body of n bytes, optionally in chunks. Its client waits for 4 s.
+func noteMessage(n int, chunked bool) string {
 	lastID++
 	framing := fmt.Sprintf("Content-Length: %d\r\n\r\n", n)
 	end := ""
@@ -92,7 +93,7 @@
 		framing = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", n)
 		end = "\r\n0\r\n\r\n"
 	}
-	fmt.Fprintf(c, "POST /note HTTP/1.1\r\nHost: o\r\nX-Request-ID: id-%d\r\nX-Timeout: 4.0\r\nIdempotency-Key: k-%d\r\n%s%s%s",
+	return fmt.Sprintf("POST /note HTTP/1.1\r\nHost: o\r\nX-Request-ID: id-%d\r\nX-Timeout: 4.0\r\nIdempotency-Key: k-%d\r\n%s%s%s",
 		lastID, lastID, framing, strings.Repeat("x", n), end)
 }
 
@@ -111,10 +112,12 @@
 
 		receiveBuffer int // of the endpoints, in bytes; 0: the kernel's choice
 	}{
-		"long body":                       {size: 2 << 20, rate: 1e6, window: policy.Second, wantStatus: 502},
-		"long body in chunks":             {size: 2 << 20, rate: 1e6, chunked: true, window: policy.Second, wantStatus: 502},
-		"all fits into the kernel":        {size: 300 << 10, rate: 200e3, window: policy.Second, wantStatus: 502},
-		"all fits into the endpoint":      {size: 60 << 10, rate: 50e3, window: 700 * policy.Millisecond, wantStatus: 502},
+		"long body":                  {size: 2 << 20, rate: 1e6, window: policy.Second, wantStatus: 502},
+		"long body in chunks":        {size: 2 << 20, rate: 1e6, chunked: true, window: policy.Second, wantStatus: 502},
+		"all fits into the kernel":   {size: 300 << 10, rate: 200e3, window: policy.Second, wantStatus: 502},
+		"all fits into the endpoint": {size: 60 << 10, rate: 50e3, window: 700 * policy.Millisecond, wantStatus: 502},
+		"short body is not received": {size: 4000, pause: 1500 * time.Millisecond, window: policy.Second, wantStatus: 502,
+			receiveBuffer: smallReceiveBuffer},
 		"late connection":                 {size: 2 << 20, rate: 3e6, dialFor: 600 * time.Millisecond, window: policy.Second, wantStatus: 502},
 		"window shortened":                {size: 2 << 20, rate: 1e6, window: 3 * policy.Second, shortened: policy.Second, wantStatus: 502},
 		"fast endpoint, long body":        {size: 2 << 20, window: policy.Second, wantStatus: 200},
@@ -123,7 +126,6 @@
 		"slow endpoint, small, long time": {size: 60 << 10, rate: 200e3, window: 3 * policy.Second, wantStatus: 200},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			requests := &wholeRequests{behave: func(n int) requestHandling {
 				if n == 1 {
 					return requestHandling{reset: true}
@@ -138,6 +140,8 @@
 				p.ConnectTimeout = 2 * policy.Second
 				config = *p
 			}, requests.endpoint(t, k.receiveBuffer), requests.endpoint(t, k.receiveBuffer))
+			message := noteMessage(k.size, k.chunked)
+			t.Parallel() // from here on: instances must be started one after the other
 			begun, release := r.blockDials(2)
 			go func() {
 				<-begun
@@ -145,7 +149,7 @@
 				close(release)
 			}()
 			c := r.client()
-			c.sendNote(k.size, k.chunked)
+			io.WriteString(c, message)
 			if k.shortened > 0 {
 				r.waitUntil("the repeat is written", func() bool { return r.Counters.Attempts == 2 })
 				time.Sleep(100 * time.Millisecond)
@@ -196,7 +200,6 @@
 		"short body is not received": {size: 4000, rate: 1e6, pause: 2 * time.Second, receiveBuffer: smallReceiveBuffer},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			requests := &wholeRequests{behave: func(n int) requestHandling {
 				if n == 1 {
 					return requestHandling{bytesPerSecond: k.rate, pause: k.pause}
@@ -208,8 +211,10 @@
 				p.Settings.Classes[1].LateValue = 0.5
 				p.Settings.Classes[1].Window = policy.Second
 			}, requests.endpoint(t, k.receiveBuffer), requests.endpoint(t, k.receiveBuffer))
+			message := noteMessage(k.size, false)
+			t.Parallel() // from here on: instances must be started one after the other
 			c := r.client()
-			c.sendNote(k.size, false)
+			io.WriteString(c, message)
 			if answer, _ := c.receive(); answer.StatusCode != 200 {
 				t.Errorf("got status %d, want 200", answer.StatusCode)
 			}
@@ -239,7 +244,6 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			const rate = 500_000 // bytes per second
 			requests := &wholeRequests{behave: func(n int) requestHandling {
 				if n == 1 {
@@ -253,8 +257,10 @@
 				p.Settings.Classes[1].LateValue = 0.5
 				p.Settings.Classes[1].Window = 10 * policy.Second
 			}, requests.endpoint(t, 0), requests.endpoint(t, 0))
+			message := noteMessage(2*rate, false)
+			t.Parallel() // from here on: instances must be started one after the other
 			c := r.client()
-			c.sendNote(2*rate, false)
+			io.WriteString(c, message)
 			r.waitUntil("the repeat is written", func() bool { return r.Counters.Attempts == 2 })
 			time.Sleep(100 * time.Millisecond)
 			end(r, c)
@@ -265,3 +271,76 @@
 		})
 	}
 }
+
+// unacknowledgedSocket is a socket whose peer has not acknowledged some bytes.
+type unacknowledgedSocket struct {
+	*recordingSocket
+	bytes   int
+	unknown bool // the kernel cannot tell how many
+}
+
+func (k *unacknowledgedSocket) Unacknowledged() (int, bool) { return k.bytes, !k.unknown }
+
+// Guards against an attempt that counts as never processed although its endpoint gets all of it: the last byte of a long request is
+// written only when the endpoint has acknowledged the others, and until then the connection does not count as flushed.
+func TestLastByteFollowsTheAcknowledgementOfAllOthers(t *testing.T) {
+	s, connect := newStoppedProxy(t)
+	for name, k := range map[string]struct {
+		acknowledged, unknown bool
+		want                  policy.Outcome // of the attempt if the endpoint then closes the connection
+	}{
+		"not acknowledged": {want: policy.NotConnected},
+		"acknowledged":     {acknowledged: true, want: policy.ConnectionLost},
+		"unknown":          {unknown: true, want: policy.ConnectionLost},
+	} {
+		client, _ := connect(connstate.ClientSide)
+		conn, plain := connect(connstate.EndpointSide)
+		socket := &unacknowledgedSocket{recordingSocket: plain, bytes: 1, unknown: k.unknown}
+		conn.Socket = socket
+		for _, one := range s.Endpoints {
+			conn.Endpoint = s.endpointConns(one)
+			s.returnIdle(1, conn)
+		}
+		endedBefore := s.Counters.Outcomes[k.want]
+		client.Input.Buffer = s.buffers.Get(connstate.LargeBuffer)
+		client.Input.Buffer.B = fmt.Appendf(client.Input.Buffer.B, "POST /once HTTP/1.1\r\nHost: o\r\nX-Request-ID: %s\r\nX-Timeout: 1\r\n"+
+			"Content-Length: 10000\r\n\r\n%s", name, strings.Repeat("x", 10000))
+		now := s.Clock.Now()
+		s.readRequests(now, now, client)
+		s.Round(now)
+		if k.acknowledged {
+			socket.bytes = 0
+			s.Round(now + 2*policy.Millisecond)
+		}
+		whole := k.want == policy.ConnectionLost
+		if conn.Flushed() != whole || string(plain.last) == "x" != whole {
+			t.Errorf("%s: the connection counts as flushed: %v, want %v; %d bytes were written last", name, conn.Flushed(), whole, len(plain.last))
+		}
+		s.connClosed(now, now+3*policy.Millisecond, conn)
+		if s.ReportEndedAttempts(now + 3*policy.Millisecond); s.Counters.Outcomes[k.want] != endedBefore+1 {
+			t.Errorf("%s: attempts by outcome %v, want one more with outcome %d", name, s.Counters.Outcomes, k.want)
+		}
+		s.Round(now + 3*policy.Millisecond)
+	}
+}
+
+// The endpoint may still have to read what its receive buffer holds, at the rate at which it has read the rest.
+func TestTimeToReadTheReceiveBuffer(t *testing.T) {
+	for _, k := range []struct {
+		length, window int64
+		took           policy.Time
+		want           policy.Time
+	}{
+		{length: 1_000_000, window: 100_000, took: policy.Second, want: 111 * policy.Millisecond}, // 900 kB read in a second
+		{length: 64_000, window: 100_000, took: policy.Millisecond, want: policy.Second},          // the rate is unknown
+		{length: 164_000, window: 100_000, took: 10 * policy.Second, want: 1562 * policy.Millisecond},
+		{length: 64 << 20, window: 6 << 20, took: 0, want: 0},
+		{length: 1_000_000, took: policy.Second, want: 0}, // the window is unknown
+	} {
+		got := maxReadTime(&connstate.Delivery{Length: k.length, WidestWindow: k.window, Since: policy.Second}, policy.Second+k.took)
+		if got/policy.Millisecond != k.want/policy.Millisecond {
+			t.Errorf("%d bytes in %d ms, window %d: got %d ms, want %d ms", k.length, k.took/policy.Millisecond, k.window,
+				got/policy.Millisecond, k.want/policy.Millisecond)
+		}
+	}
+}
--- a/internal/httpproxy/endpointconns.go
+++ b/internal/httpproxy/endpointconns.go
@@ -129,7 +129,7 @@
 		p.Timers.Stop(&r.ReuseTimer)
 		p.endpointConns(r.AttemptEndpoint).AwaitingReuse--
 	}
-	p.Timers.Stop(&r.LastByte.Timer)
+	p.Timers.Stop(&r.Delivery.Timer)
 	c := r.AttemptConn
 	if c == nil {
 		return
