The plug-in ends a retry with a long message at the end of its deduplication window

What callers saw: a keyed call ran twice, as over HTTP. Its retry began inside the window, and the endpoint read the message after it.

Change: of a retry whose message does not fit into a stream's first flow window (65,535 bytes), the attempt is cancelled 0.15 s before the time that the module gives (ArriveBy), checked every 50 ms under the settings of that moment. gRPC does not tell what the endpoint has received, so such a retry also ends if its handling takes longer than the window; the call may have run, and the caller is told so.

A first attempt pays nothing.

--- a/rpc/call.go
+++ b/rpc/call.go
@@ -29,12 +29,16 @@
 	abandoned    bool   // the caller has its answer or has left, and reads no more instructions
 	closed       bool   // the caller has posted its last event
 
+	arrivalTimer    engine.Timer // ends a retry that would arrive too late; used by the loop, like limitedSequence
+	limitedSequence uint32       // latest attempt that arrivalTimer is for
+
 	class   policy.ClassID
 	tenant  policy.TenantID
 	key     string
 	timeout policy.Time // from the start of the call to its deadline
 	stream  bool        // opened by NewStream
 
+	longMessage   atomic.Bool  // the message of a retried call does not fit into initialFlowWindow
 	streamCount   atomic.Int32 // streams that gRPC has tried to begin for the current attempt
 	options       []grpc.CallOption
 	backend       *backend                      // connection used by the current attempt
@@ -65,6 +69,7 @@
 	c.abandoned = false
 	c.closed = false
 	c.key = ""
+	c.longMessage.Store(false)
 	c.cancel = nil
 	c.callerCreds = nil
 	c.callerTrailer = nil
--- a/rpc/front.go
+++ b/rpc/front.go
@@ -159,6 +159,7 @@
 	b.uses++
 	// now is the start of the round. Reading the clock here would hide a suspension of the process since then.
 	call.instructions <- instruction{backend: b, sequence: call.sequence, decidedAt: now}
+	f.limitArrival(now, call)
 }
 
 // backend returns the connection to the endpoint. If there is none, or it is retired, it creates one.
@@ -225,6 +226,7 @@
 // Released recycles the request's call if its caller has finished with it too.
 func (f *front) Released(request *engine.Request) {
 	call := request.FrontData.(*clientCall)
+	f.engine.Timers.Stop(&call.arrivalTimer)
 	request.FrontData = nil
 	call.request = nil
 	f.recycle(call)
--- a/rpc/invoke.go
+++ b/rpc/invoke.go
@@ -45,6 +45,9 @@
 		if err != nil {
 			return err
 		}
+		if lastErr != nil {
+			call.longMessage.Store(!fitsFlowWindow(args))
+		}
 		attemptCtx, cancel := call.startAttempt(ctx, attempt.sequence, deadline)
 		err = attempt.backend.conn.Invoke(attemptCtx, method, args, reply, options...)
 		cancel()
--- a/rpc/testserver_test.go
+++ b/rpc/testserver_test.go
@@ -197,6 +197,12 @@
 
 // open creates a Conn that follows the list in the directory, and waits until the Conn has read the list.
 func open(t testing.TB, dir string, opts ...grpc.DialOption) *Conn {
+	t.Helper()
+	return openConfigured(t, dir, configuration, opts...)
+}
+
+// openConfigured is like open, with another configuration.
+func openConfigured(t testing.TB, dir, configuration string, opts ...grpc.DialOption) *Conn {
 	t.Helper()
 	path := filepath.Join(dir, "pepperlead.toml")
 	if err := os.WriteFile(path, []byte(configuration), 0o600); err != nil {
