A retry that cannot arrive within its window is ended as soon as its rate shows that

Change: from 0.25 s after the begin on, a retry ends if the bytes that are not acknowledged would come too late at twice the rate seen so far. What the kernel does not know counts as acknowledged, as before.

--- a/internal/connstate/conn.go
+++ b/internal/connstate/conn.go
@@ -21,9 +21,9 @@
 	DiscardInput()
 	// Reset resets the connection, so that the peer does not see an orderly close.
 	Reset()
-	// Unacknowledged returns how many bytes the kernel has accepted and the peer's kernel has not acknowledged. ok is
-	// false if that is not known.
-	Unacknowledged() (bytes int, ok bool)
+	// Unacknowledged returns how many bytes the kernel has accepted and the peer's kernel has not acknowledged; 0 if it
+	// is not known.
+	Unacknowledged() int
 	// PeerWindow returns the receive window that the peer has advertised last, in bytes; 0 if it is not known.
 	PeerWindow() int
 }
--- a/internal/httpproxy/delivery.go
+++ b/internal/httpproxy/delivery.go
@@ -27,6 +27,10 @@
 	deliveryMargin = 150 * policy.Millisecond
 	// minReadRate is the lowest rate at which an endpoint is expected to read a request, in bytes per second.
 	minReadRate = 64_000
+	// minRateObservation is the time after which a delivery shows the rate at which the endpoint takes it.
+	minRateObservation = 250 * policy.Millisecond
+	// maxSpeedup is how many times as fast as so far an endpoint may take the rest of a request.
+	maxSpeedup = 2
 )
 
 // deliverLong writes a request with a long body, whose head is in p.scratch, except its last byte. That follows as soon
@@ -98,20 +102,17 @@
 // no longer wanted or would arrive too late, and otherwise checks again later.
 func (p *Proxy) checkLastByte(now policy.Time, r *connstate.Request) {
 	observeWindow(r)
-	acknowledged := isAcknowledged(r)
+	outstanding := outstandingBytes(r)
+	processing := r.Response.Streaming // the endpoint responds although it does not have the last byte
 	switch {
-	case r.Response.Streaming && acknowledged: // the endpoint has begun to process the request
-		p.writeLastByte(now, r)
-	case r.Response.Streaming:
-		p.scheduleDeliveryCheck(now, r)
-	case r.Decided: // nobody waits for a response any more
+	case r.Decided && !processing: // nobody waits for a response any more
 		p.endAttempt(now, r, policy.Cancelled, false)
-	case p.arrivesTooLate(r, acknowledged):
+	case !processing && p.arrivesTooLate(r, outstanding):
 		p.endAttempt(now, r, policy.NotSent, false)
-	case acknowledged:
-		p.writeLastByte(now, r)
-	default:
+	case outstanding > 0:
 		p.scheduleDeliveryCheck(now, r)
+	default:
+		p.writeLastByte(now, r)
 	}
 }
 
@@ -129,10 +130,11 @@
 // checkAcknowledgement ends a completely written retry that the endpoint's kernel has not acknowledged in time, and
 // otherwise checks again later until it has.
 func (p *Proxy) checkAcknowledgement(now policy.Time, r *connstate.Request) {
+	outstanding := outstandingBytes(r)
 	switch {
-	case r.Response.Streaming || isAcknowledged(r):
+	case r.Response.Streaming || outstanding == 0:
 		// The endpoint has received the request.
-	case p.arrivesTooLate(r, false):
+	case p.arrivesTooLate(r, outstanding):
 		p.endAttempt(now, r, policy.TimedOut, false)
 	default:
 		p.scheduleDeliveryCheck(now, r)
@@ -146,18 +148,14 @@
 	p.Timers.Set(&r.Delivery.Timer, now+interval)
 }
 
-// isAcknowledged reports whether the endpoint's kernel has received all bytes that are not withheld.
-func isAcknowledged(r *connstate.Request) bool {
+// outstandingBytes returns how many bytes, apart from a withheld one, the endpoint's kernel has not acknowledged.
+func outstandingBytes(r *connstate.Request) int64 {
 	c := r.AttemptConn
 	unwritten := c.Unwritten()
 	if r.Delivery.Withheld {
 		unwritten--
 	}
-	if unwritten > 0 {
-		return false
-	}
-	bytes, known := c.Socket.Unacknowledged()
-	return bytes == 0 || !known
+	return unwritten + int64(c.Socket.Unacknowledged())
 }
 
 // observeWindow records the receive window of the endpoint if the attempt is a retry.
@@ -169,20 +167,33 @@
 }
 
 // arrivesTooLate reports whether the request has to arrive by a certain time and the endpoint would not read its last
-// byte by then. acknowledged says that the endpoint's kernel has all other bytes.
-func (p *Proxy) arrivesTooLate(r *connstate.Request, acknowledged bool) bool {
+// byte by then. outstanding is the result of outstandingBytes.
+func (p *Proxy) arrivesTooLate(r *connstate.Request, outstanding int64) bool {
 	by, limited := p.ArriveBy(r.Request)
 	if !limited {
 		return false
 	}
 	now := p.Clock.Now()
 	arrival := now + deliveryMargin
-	if acknowledged {
+	if outstanding > 0 {
+		arrival += minTimeLeft(&r.Delivery, now, outstanding)
+	} else {
 		arrival += maxReadTime(&r.Delivery, now)
 	}
 	return arrival >= by
 }
 
+// minTimeLeft returns how long it takes at least until the endpoint's kernel has acknowledged the outstanding bytes,
+// judged by those that it has acknowledged; 0 if that cannot be told yet.
+func minTimeLeft(delivery *connstate.Delivery, now policy.Time, outstanding int64) policy.Time {
+	elapsed := now - delivery.Since
+	taken := delivery.Length - outstanding
+	if elapsed < minRateObservation || taken <= 0 {
+		return 0
+	}
+	return elapsed * policy.Time(outstanding) / policy.Time(maxSpeedup*taken)
+}
+
 // maxReadTime returns how long the endpoint may take to read the bytes that its kernel has acknowledged. These are at
 // most as many as its widest receive window. The others were read since the request was begun, which shows the rate.
 func maxReadTime(delivery *connstate.Delivery, now policy.Time) policy.Time {
--- a/internal/httpproxy/delivery_test.go
+++ b/internal/httpproxy/delivery_test.go
@@ -109,10 +109,11 @@
 		shortened  policy.Time   // window of settings applied while the repeat is written; 0: none
 		dialFor    time.Duration // how long the dial of the repeat takes
 		wantStatus int
+		wantAtOnce bool // the client is answered as soon as the rate of the second endpoint shows
 
 		receiveBuffer int // of the endpoints, in bytes; 0: the kernel's choice
 	}{
-		"long body":                  {size: 2 << 20, rate: 1e6, window: policy.Second, wantStatus: 502},
+		"long body":                  {size: 4 << 20, rate: 1e6, window: policy.Second, wantStatus: 502, wantAtOnce: true},
 		"long body in chunks":        {size: 2 << 20, rate: 1e6, chunked: true, window: policy.Second, wantStatus: 502},
 		"all fits into the kernel":   {size: 300 << 10, rate: 200e3, window: policy.Second, wantStatus: 502},
 		"all fits into the endpoint": {size: 60 << 10, rate: 50e3, window: 700 * policy.Millisecond, wantStatus: 502},
@@ -179,7 +180,7 @@
 			if answer.StatusCode != k.wantStatus {
 				t.Errorf("got status %d, want %d", answer.StatusCode, k.wantStatus)
 			}
-			if waited := answered.Sub(whole[0]); waited > window+4*socketSlack {
+			if waited := answered.Sub(whole[0]); waited > window+4*socketSlack || k.wantAtOnce && waited > window/2 {
 				t.Errorf("the client was answered %v after the first attempt, with a window of %v", waited, window)
 			}
 		})
@@ -275,27 +276,26 @@
 // unacknowledgedSocket is a socket whose peer has not acknowledged some bytes.
 type unacknowledgedSocket struct {
 	*recordingSocket
-	bytes   int
-	unknown bool // the kernel cannot tell how many
+	bytes int
 }
 
-func (k *unacknowledgedSocket) Unacknowledged() (int, bool) { return k.bytes, !k.unknown }
+func (k *unacknowledgedSocket) Unacknowledged() int { return k.bytes }
 
 // Guards against an attempt that counts as never processed although its endpoint gets all of it: the last byte of a long request is
 // written only when the endpoint has acknowledged the others, and until then the connection does not count as flushed.
 func TestLastByteFollowsTheAcknowledgementOfAllOthers(t *testing.T) {
 	s, connect := newStoppedProxy(t)
 	for name, k := range map[string]struct {
-		acknowledged, unknown bool
+		unacknowledged, later int            // bytes at the write, and at the next check
 		want                  policy.Outcome // of the attempt if the endpoint then closes the connection
 	}{
-		"not acknowledged": {want: policy.NotConnected},
-		"acknowledged":     {acknowledged: true, want: policy.ConnectionLost},
-		"unknown":          {unknown: true, want: policy.ConnectionLost},
+		"not acknowledged":     {unacknowledged: 5000, later: 1, want: policy.NotConnected},
+		"acknowledged":         {unacknowledged: 5000, want: policy.ConnectionLost},
+		"acknowledged at once": {want: policy.ConnectionLost},
 	} {
 		client, _ := connect(connstate.ClientSide)
 		conn, plain := connect(connstate.EndpointSide)
-		socket := &unacknowledgedSocket{recordingSocket: plain, bytes: 1, unknown: k.unknown}
+		socket := &unacknowledgedSocket{recordingSocket: plain, bytes: k.unacknowledged}
 		conn.Socket = socket
 		for _, one := range s.Endpoints {
 			conn.Endpoint = s.endpointConns(one)
@@ -308,10 +308,8 @@
 		now := s.Clock.Now()
 		s.readRequests(now, now, client)
 		s.Round(now)
-		if k.acknowledged {
-			socket.bytes = 0
-			s.Round(now + 2*policy.Millisecond)
-		}
+		socket.bytes = k.later
+		s.Round(now + 2*policy.Millisecond)
 		whole := k.want == policy.ConnectionLost
 		if conn.Flushed() != whole || string(plain.last) == "x" != whole {
 			t.Errorf("%s: the connection counts as flushed: %v, want %v; %d bytes were written last", name, conn.Flushed(), whole, len(plain.last))
@@ -344,3 +342,23 @@
 		}
 	}
 }
+
+// A retry that cannot arrive in time is ended as soon as that shows, and not before.
+func TestLeastTimeUntilARequestIsAcknowledged(t *testing.T) {
+	for _, k := range []struct {
+		length, outstanding int64
+		took                policy.Time
+		want                policy.Time
+	}{
+		{length: 4_000_000, outstanding: 3_000_000, took: policy.Second, want: 1500 * policy.Millisecond}, // at twice 1 MB a second
+		{length: 4_000_000, outstanding: 3_000_000, took: 200 * policy.Millisecond, want: 0},              // too early to tell
+		{length: 4_000_000, outstanding: 4_000_000, took: policy.Second, want: 0},                         // no rate
+		{length: 64 << 20, outstanding: 60 << 20, took: 10 * policy.Second, want: 75 * policy.Second},
+	} {
+		got := minTimeLeft(&connstate.Delivery{Length: k.length, Since: policy.Second}, policy.Second+k.took, k.outstanding)
+		if got != k.want {
+			t.Errorf("%d of %d bytes are outstanding after %d ms: got %d ms, want %d ms", k.outstanding, k.length, k.took/policy.Millisecond,
+				got/policy.Millisecond, k.want/policy.Millisecond)
+		}
+	}
+}
--- a/internal/httpproxy/proxy_test.go
+++ b/internal/httpproxy/proxy_test.go
@@ -235,7 +235,7 @@
 func (k *recordingSocket) CloseIfIdle(*connstate.Conn) bool { return true }
 func (k *recordingSocket) DiscardInput()                    {}
 func (k *recordingSocket) Reset()                           {}
-func (k *recordingSocket) Unacknowledged() (int, bool)      { return 0, true }
+func (k *recordingSocket) Unacknowledged() int              { return 0 }
 func (k *recordingSocket) PeerWindow() int                  { return 0 }
 func (k *recordingSocket) Idle(*connstate.Conn) bool        { return !k.hasInput }
 
--- a/internal/httpproxy/socket.go
+++ b/internal/httpproxy/socket.go
@@ -151,7 +151,7 @@
 // descriptor is closed. Otherwise it goes on sending them, for minutes if the peer is cut off, and an endpoint would
 // process a request long after its attempt has ended. s.mu must be held.
 func (s *socket) dropUnacknowledged() {
-	if bytes, known := s.unacknowledged(); known && bytes > 0 {
+	if s.unacknowledged() > 0 {
 		s.resetOnClose()
 	}
 }
@@ -162,20 +162,23 @@
 	_ = unix.SetsockoptLinger(s.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
 }
 
-// Unacknowledged returns how many bytes the kernel has accepted and the peer's kernel has not acknowledged. ok is false
-// if the socket has ended, or if the kernel cannot tell.
-func (s *socket) Unacknowledged() (bytes int, ok bool) {
+// Unacknowledged returns how many bytes the kernel has accepted and the peer's kernel has not acknowledged; 0 if the
+// socket has ended, or if the kernel cannot tell.
+func (s *socket) Unacknowledged() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.unacknowledged()
 }
 
-func (s *socket) unacknowledged() (bytes int, ok bool) {
+func (s *socket) unacknowledged() int {
 	if s.ended {
-		return 0, false
+		return 0
 	}
 	bytes, err := unix.IoctlGetInt(s.fd, unix.SIOCOUTQ)
-	return bytes, err == nil
+	if err != nil {
+		return 0
+	}
+	return bytes
 }
 
 // PeerWindow returns the receive window that the peer has advertised last, in bytes; 0 if the socket has ended, or if
