--- a/internal/httpproxy/delivery.go
+++ b/internal/httpproxy/delivery.go
@@ -40,6 +40,7 @@
 	length := int64(len(p.scratch) + r.Upload.Size)
 	c.Output.CompleteAt.Store(c.Output.Queued + length)
 	p.beginDelivery(now, r, length)
+	observeWindow(r)
 	p.write(c, p.scratch)
 	p.writeAllButLastByte(r)
 	p.checkLastByte(now, r)
@@ -68,7 +69,6 @@
 	delivery.Length = length
 	delivery.Since = now
 	delivery.WidestWindow = 0
-	observeWindow(r)
 	if delivery.Timer.Run == nil {
 		delivery.Timer.Run = func(now policy.Time) { p.checkDelivery(now, r) }
 	}
--- a/internal/httpproxy/responses.go
+++ b/internal/httpproxy/responses.go
@@ -8,15 +8,6 @@
 	"pepperlead/policy"
 )
 
-// Kinds of final responses. Their values equal those of the engine's constants AnswerSucceeded, AnswerDeclined,
-// AnswerRejected and AnswerFailed.
-const (
-	answerSucceeded = iota
-	answerDeclined
-	answerRejected
-	answerFailed
-)
-
 // localResponse is a response that the instance makes itself.
 type localResponse struct {
 	status     int
@@ -44,10 +35,10 @@
 
 // detachClientForResponse detaches the client for the response of an endpoint, and counts it as succeeded or declined.
 func (p *Proxy) detachClientForResponse(now policy.Time, r *connstate.Request) *connstate.Conn {
-	answer := answerSucceeded
+	answer := engine.AnswerSucceeded
 	counter := &p.Counters.Succeeded
 	if r.Response.Status != http.StatusOK {
-		answer = answerDeclined
+		answer = engine.AnswerDeclined
 		counter = &p.Counters.Declined
 	}
 	c := p.detachClient(now, r, answer)
@@ -81,7 +72,7 @@
 // Reject answers a request that the decision module has rejected.
 func (p *Proxy) Reject(now policy.Time, request *engine.Request, retryAfter policy.Time) {
 	r := connstate.AsRequest(request)
-	if c := p.detachClient(now, r, answerRejected); c != nil {
+	if c := p.detachClient(now, r, engine.AnswerRejected); c != nil {
 		p.Counters.Rejected++
 		response := localResponse{http.StatusServiceUnavailable, "turned back\n", retryAfter}
 		p.respond(now, c, response, r.CloseAfter)
@@ -92,7 +83,7 @@
 // Fail answers a request that the decision module has given up as failed.
 func (p *Proxy) Fail(now policy.Time, request *engine.Request) {
 	r := connstate.AsRequest(request)
-	if c := p.detachClient(now, r, answerFailed); c != nil {
+	if c := p.detachClient(now, r, engine.AnswerFailed); c != nil {
 		p.Counters.Failed++
 		p.respond(now, c, localResponse{status: http.StatusBadGateway, body: "given up\n"}, r.CloseAfter)
 	}
--- a/rpc/front.go
+++ b/rpc/front.go
@@ -9,13 +9,6 @@
 	"pepperlead/policy"
 )
 
-// Kinds of final answers: engine.AnswerSucceeded, engine.AnswerRejected and engine.AnswerFailed.
-const (
-	answeredSuccessfully = 0
-	answeredRejected     = 2
-	answeredFailed       = 3
-)
-
 // front connects callers to the engine. Callers' goroutines post events, which the engine's loop, a single goroutine,
 // handles. The loop sends instructions on the channel of the call.
 type front struct {
@@ -195,21 +188,21 @@
 // Succeed records the success of a call. Its caller has the reply already.
 func (f *front) Succeed(now policy.Time, request *engine.Request) {
 	f.engine.Counters.Succeeded++
-	f.engine.Answered(now, request, answeredSuccessfully)
+	f.engine.Answered(now, request, engine.AnswerSucceeded)
 }
 
 // Reject instructs the caller to return an error that says that the call may safely be sent again.
 func (f *front) Reject(now policy.Time, request *engine.Request, retryAfter policy.Time) {
 	f.engine.Counters.Rejected++
 	request.FrontData.(*clientCall).sendAnswer(instruction{answer: rejected, retryAfter: retryAfter})
-	f.engine.Answered(now, request, answeredRejected)
+	f.engine.Answered(now, request, engine.AnswerRejected)
 }
 
 // Fail instructs the caller to return an error that says that the call may have run.
 func (f *front) Fail(now policy.Time, request *engine.Request) {
 	f.engine.Counters.Failed++
 	request.FrontData.(*clientCall).sendAnswer(instruction{answer: failed})
-	f.engine.Answered(now, request, answeredFailed)
+	f.engine.Answered(now, request, engine.AnswerFailed)
 }
 
 // sendAnswer sends the caller its final instruction, if it still reads instructions.
