--- a/internal/engine/activerules.go
+++ b/internal/engine/activerules.go
@@ -141,11 +141,19 @@
 	return request.rulesVersion == e.rulesVersion() || e.Module.AttemptAllowed(now, request.Handle)
 }
 
+// arrivalMargin is how long this process may be held up between a check of Engine.ArriveBy and what follows from it.
+const arrivalMargin = 150 * policy.Millisecond
+
 // ArriveBy returns the time before which the request's latest attempt must have arrived at its endpoint completely,
-// under the rules that are in force now. limited is false if it may arrive at any time.
+// under the rules that are in force now, less a margin for a process that is held up. limited is false if the attempt
+// may arrive at any time.
 func (e *Engine) ArriveBy(request *Request) (by policy.Time, limited bool) {
 	e.applyRules()
-	return e.Module.ArriveBy(request.Handle)
+	by, limited = e.Module.ArriveBy(request.Handle)
+	if limited {
+		by -= arrivalMargin
+	}
+	return by, limited
 }
 
 // applyRules applies the current rules if they have changed. A lease may have expired since the loop last checked, or
--- a/internal/httpproxy/delivery.go
+++ b/internal/httpproxy/delivery.go
@@ -22,9 +22,6 @@
 )
 
 const (
-	// deliveryMargin is how long this process may be held up between a check of the time and the write or the close
-	// that follows from it.
-	deliveryMargin = 150 * policy.Millisecond
 	// minReadRate is the lowest rate at which an endpoint is expected to read a request, in bytes per second.
 	minReadRate = 64_000
 	// minRateObservation is the time after which a delivery shows the rate at which the endpoint takes it.
@@ -174,13 +171,11 @@
 		return false
 	}
 	now := p.Clock.Now()
-	arrival := now + deliveryMargin
+	timeLeft := maxReadTime(&r.Delivery, now)
 	if outstanding > 0 {
-		arrival += minTimeLeft(&r.Delivery, now, outstanding)
-	} else {
-		arrival += maxReadTime(&r.Delivery, now)
+		timeLeft = minTimeLeft(&r.Delivery, now, outstanding)
 	}
-	return arrival >= by
+	return now+timeLeft >= by
 }
 
 // minTimeLeft returns how long it takes at least until the endpoint's kernel has acknowledged the outstanding bytes,
--- a/rpc/arrival.go
+++ b/rpc/arrival.go
@@ -9,9 +9,6 @@
 const (
 	// initialFlowWindow is how many bytes of a stream an endpoint accepts before it reads any: RFC 9113, 6.5.2.
 	initialFlowWindow = 65535
-	// arrivalMargin is how long this process may be held up between a check of the time and the cancellation that
-	// follows from it.
-	arrivalMargin = 150 * policy.Millisecond
 	// arrivalCheckInterval is the time between two checks whether a retry may still arrive.
 	arrivalCheckInterval = 50 * policy.Millisecond
 )
@@ -37,7 +34,7 @@
 		return
 	}
 	by, limited := f.engine.ArriveBy(call.request)
-	if limited && call.longMessage.Load() && f.engine.Clock.Now()+arrivalMargin >= by {
+	if limited && call.longMessage.Load() && f.engine.Clock.Now() >= by {
 		call.cancelAttempt()
 		f.engine.AttemptEnded(now, call.request, policy.TimedOut)
 		return
