A closing connection is judged after the last write of the poller

Close asked for unacknowledged bytes before it stopped the poller, which could pass more to the kernel in between; those were then sent in order. It now asks afterwards; the end of the connection itself counts as one byte there. Found by reading, not forced.

--- a/internal/httpproxy/socket.go
+++ b/internal/httpproxy/socket.go
@@ -147,15 +147,6 @@
 	return s.nb.Write(b)
 }
 
-// dropUnacknowledged makes the kernel drop the bytes that the peer has not acknowledged, and send a reset, when the
-// descriptor is closed. Otherwise it goes on sending them, for minutes if the peer is cut off, and an endpoint would
-// process a request long after its attempt has ended. s.mu must be held.
-func (s *socket) dropUnacknowledged() {
-	if s.unacknowledged() > 0 {
-		s.resetOnClose()
-	}
-}
-
 // resetOnClose makes the kernel send a reset when the descriptor is closed. s.mu must be held.
 func (s *socket) resetOnClose() {
 	// This fails only if the peer has already ended the socket.
@@ -204,19 +195,25 @@
 	}
 }
 
+// finLength is the length of the end of a connection among its unacknowledged bytes.
+const finLength = 1
+
 // Close shuts the socket down in both directions; the poller notices that and closes the descriptor. After Close
 // returns, no more bytes are passed to the kernel, and Conn.Output.Written counts all bytes that were.
+//
+// The kernel drops what an endpoint has not acknowledged, and sends a reset. Otherwise it goes on sending, for minutes
+// if the endpoint is cut off, and the endpoint would process a request long after its attempt has ended.
 func (s *socket) Close() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
 		return nil
 	}
-	if s.nb.Session().(*connstate.Conn).Side == connstate.EndpointSide {
-		s.dropUnacknowledged()
-	}
 	err := syscall.Shutdown(s.fd, syscall.SHUT_RDWR)
 	_, _ = s.nb.Write(nil) // waits for a write by nbio that is in progress
+	if s.nb.Session().(*connstate.Conn).Side == connstate.EndpointSide && s.unacknowledged() > finLength {
+		s.resetOnClose()
+	}
 	return err
 }
 
