--- a/cmd/pepperlead-sim/main.go
+++ b/cmd/pepperlead-sim/main.go
@@ -26,7 +26,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), replayCommand(), socketsCommand(), drillCommand(), sweepCommand(), compareCommand())
+	root.AddCommand(runCommand(), replayCommand(), socketsCommand(), drillCommand(), soakCommand(), sweepCommand())
+	root.AddCommand(compareCommand())
 	root.AddCommand(reportCommand(), costCommand(), listsCommand(), followCommand(), memoryCommand())
 	root.AddCommand(helperCommands()...)
 	return root
