Each close, refusal and end of a request is counted and logged with its reason

The logs of the report do not say why a connection was closed, a request refused or given up, or an attempt repeated. Now counters say it by reason (closed_client_silent, refused_out_of_memory, ended_max_attempts, ...; behind the existing lines of /_counters, which keep their names and order), the debug level logs each with the request's id, and one info line a second at most tells what has happened, with the connections and the memory of messages in that moment.

Counters whose value a healthy run has in every second (a peer that closes, a response that announces the close) are left out of that line.

--- a/internal/connstate/conn.go
+++ b/internal/connstate/conn.go
@@ -60,6 +60,7 @@
 	Closing   bool        // the connection is closed, or about to be: nothing more is read or sent
 	Idle      bool        // on ClientSide only: no request has arrived since the last response
 	Used      bool        // the connection has carried a request
+	ClosedFor CloseReason // why the connection was closed, once Closing is set
 	IdleSince policy.Time // when the last request ended; before the first one, when the connection was opened
 
 	Input    Input
--- a/internal/connstate/conns.go
+++ b/internal/connstate/conns.go
@@ -89,10 +89,11 @@
 // OverLimit reports whether the number of connections on that side exceeds the side's limit.
 func (conns *Conns) OverLimit(side Side) bool { return conns.Count(side) > conns.Limit[side] }
 
-// MarkClosing marks a connection that is being closed.
-func (conns *Conns) MarkClosing(c *Conn) {
+// MarkClosing marks a connection that is being closed, for the given reason.
+func (conns *Conns) MarkClosing(c *Conn, reason CloseReason) {
 	conns.MarkBusy(c)
 	c.Closing = true
+	c.ClosedFor = reason
 	conns.closing[c.Side]++
 }
 
--- a/internal/connstate/connstate_test.go
+++ b/internal/connstate/connstate_test.go
@@ -74,7 +74,7 @@
 	if got := conns.OldestIdle(ClientSide, 7, 5); got != nil {
 		t.Errorf("got %+v, want no connection", got)
 	}
-	conns.MarkClosing(all[4])
+	conns.MarkClosing(all[4], IdleConnection)
 	if conns.Count(ClientSide) != 4 || !conns.Remove(all[4]) || conns.Remove(all[4]) || conns.Count(ClientSide) != 4 {
 		t.Error("a closed connection is counted, or was removed twice")
 	}
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -41,12 +41,20 @@
 
 // Reject implements policy.Front.
 func (e *Engine) Reject(handle policy.Handle, retryAfter policy.Time) {
-	e.addStep(handle, step{run: reject, duration: retryAfter}).Decided = true
+	e.endRequest(handle, step{run: reject, duration: retryAfter})
 }
 
 // Fail implements policy.Front.
 func (e *Engine) Fail(handle policy.Handle) {
-	e.addStep(handle, step{run: fail}).Decided = true
+	e.endRequest(handle, step{run: fail})
+}
+
+// endRequest queues the step that ends a request without an endpoint's answer.
+func (e *Engine) endRequest(handle policy.Handle, s step) {
+	request := e.addStep(handle, s)
+	request.Decided = true
+	request.EndReason = e.Module.EndReason(handle)
+	e.Counters.Ended[request.EndReason]++
 }
 
 // Wake implements policy.Front.
--- a/internal/engine/counters.go
+++ b/internal/engine/counters.go
@@ -36,6 +36,7 @@
 	Reconfigurations    int
 	BytesIn             int64
 	BytesOut            int64
+	Ended               [policy.NumEndReasons]int // requests that ended without an answer of an endpoint, by reason
 }
 
 // outcomeNames are the names of the attempts' outcomes in the names of the counters.
@@ -74,6 +75,9 @@
 	line("configurations_renewed", int64(c.Reconfigurations))
 	line("bytes_in", c.BytesIn)
 	line("bytes_out", c.BytesOut)
+	for reason := policy.EndedByOverload; reason < policy.NumEndReasons; reason++ {
+		line("ended_"+reason.String(), int64(c.Ended[reason]))
+	}
 }
 
 // String returns the counters, one per line.
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -22,6 +22,7 @@
 	Endpoint      policy.EndpointID // endpoint of the latest attempt
 	SentAt        policy.Time       // when the latest attempt was sent
 	AttemptTimer  Timer             // timeout of the attempt in flight
+	EndReason     policy.EndReason  // why the module ended the request without an endpoint's answer
 	Decided       bool              // the module has decided on the final answer, or the client has left
 	PendingSteps  int               // steps that are decided on and not yet carried out
 
--- a/internal/httpproxy/admission.go
+++ b/internal/httpproxy/admission.go
@@ -15,6 +15,7 @@
 // refusal is the response to a request that cannot be served.
 type refusal struct {
 	status int // 0: the request can be served
+	reason refusalReason
 	text   string
 }
 
@@ -75,23 +76,23 @@
 // check returns the refusal of a request that cannot be served; its status is 0 if the request can be served.
 func (p *Proxy) check(incoming *candidate) refusal {
 	if !servedMethod(incoming.method) {
-		return refusal{http.StatusBadRequest, "this method is not served\n"}
+		return refusal{http.StatusBadRequest, malformedRequest, "this method is not served\n"}
 	}
 	headers := incoming.headers
 	switch {
 	case !incoming.classKnown:
-		return refusal{http.StatusNotFound, "no such offering\n"}
+		return refusal{http.StatusNotFound, unknownClass, "no such offering\n"}
 	case len(incoming.id) == 0 && !p.config.Anonymous || !incoming.hasTimeout:
-		return refusal{http.StatusBadRequest, "X-Request-ID or X-Timeout is missing\n"}
+		return refusal{http.StatusBadRequest, missingHeader, "X-Request-ID or X-Timeout is missing\n"}
 	case hasAmbiguousID(headers):
-		return refusal{http.StatusBadRequest,
+		return refusal{http.StatusBadRequest, ambiguousID,
 			"X-Request-ID or Idempotency-Key is given twice, or for this connection only\n"}
 	case len(incoming.id) > 0 && p.idInUse(incoming):
 		// Otherwise a client that uses the request ID of another client could get the response to that request.
-		return refusal{http.StatusConflict, "a request with this X-Request-ID is in hand\n"}
+		return refusal{http.StatusConflict, idInFlight, "a request with this X-Request-ID is in hand\n"}
 	case p.config.Settings.Classes[incoming.class].Idempotency == policy.Keyed &&
 		headerValue(headers, headerIdempotencyKey) == nil:
-		return refusal{http.StatusBadRequest, "Idempotency-Key is missing\n"}
+		return refusal{http.StatusBadRequest, missingHeader, "Idempotency-Key is missing\n"}
 	}
 	return refusal{}
 }
--- a/internal/httpproxy/attempts.go
+++ b/internal/httpproxy/attempts.go
@@ -85,7 +85,7 @@
 func (p *Proxy) readResponse(now, at policy.Time, c *connstate.Conn) {
 	r := c.Request
 	if r == nil {
-		p.closeConn(c) // no request is waiting for these bytes
+		p.closeConn(c, connstate.UnexpectedInput)
 		return
 	}
 	in := c.Input.Buffer.B
@@ -191,6 +191,7 @@
 
 // endAttempt ends the attempt in flight.
 func (p *Proxy) endAttempt(at policy.Time, r *connstate.Request, outcome policy.Outcome, reusable bool) {
+	p.noteAttemptEnd(r, outcome)
 	p.detachEndpoint(at, r, reusable)
 	p.AttemptEnded(at, r.Request, outcome)
 }
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -77,7 +77,7 @@
 		}
 	}
 	if in := c.Input.Buffer; in != nil && len(in.B) > connstate.LargeBuffer && (c.Request != nil || !c.Flushed()) {
-		p.closeConn(c) // the client keeps sending while its response is outstanding
+		p.closeConn(c, connstate.TooMuchInput)
 	}
 }
 
@@ -106,7 +106,7 @@
 		p.beginUpload(now, at, c, request.requestHead)
 		return false
 	case status != 0:
-		p.refuse(now, c, refusal{status, "the request cannot be read\n"})
+		p.refuse(now, c, refusal{status, malformedRequest, "the request cannot be read\n"})
 		return false
 	case request.length == 0 && p.buffers.Full():
 		// Partly received requests must not fill the memory while they cannot be admitted.
@@ -192,10 +192,10 @@
 		if c.Progressed(now, c.Output.Written.Load(), flushTimeout) {
 			p.Timers.Set(&c.Timer, now+flushCheckInterval)
 		} else {
-			p.closeConn(c) // the client does not read its response
+			p.closeConn(c, connstate.UnreadResponse)
 		}
 	case c.Output.CloseWhenFlushed:
-		p.closeConn(c)
+		p.closeConn(c, connstate.AfterResponse)
 	case c.Output.AwaitingFlush && c.Input.Buffer != nil:
 		p.readRequests(now, now, c)
 	case c.Idle:
@@ -203,7 +203,7 @@
 	case c.Input.Buffer == nil:
 		p.checkSilent(now, c)
 	default:
-		p.refuse(now, c, refusal{http.StatusRequestTimeout, "the request came too slowly\n"})
+		p.refuse(now, c, refusal{http.StatusRequestTimeout, requestTooSlow, "the request came too slowly\n"})
 	}
 }
 
@@ -211,7 +211,7 @@
 // need.
 func (p *Proxy) checkIdleClient(now policy.Time, c *connstate.Conn) {
 	if 2*p.conns.IdleClients > p.conns.MaxIdleClients && c.Socket.CloseIfIdle(c) {
-		p.conns.MarkClosing(c)
+		p.conns.MarkClosing(c, connstate.IdleConnection)
 		p.Counters.ClientConnsBroken++
 		return
 	}
@@ -222,7 +222,7 @@
 // not processed yet, it checks again later.
 func (p *Proxy) checkSilent(now policy.Time, c *connstate.Conn) {
 	if c.Socket.CloseIfIdle(c) {
-		p.conns.MarkClosing(c)
+		p.conns.MarkClosing(c, connstate.SilentClient)
 		p.Counters.ClientsSilent++
 		return
 	}
--- a/internal/httpproxy/endpointconns.go
+++ b/internal/httpproxy/endpointconns.go
@@ -37,7 +37,7 @@
 		if c.Socket.Idle(c) {
 			return c
 		}
-		p.closeConn(c)
+		p.closeConn(c, connstate.UnexpectedInput)
 	}
 }
 
@@ -114,7 +114,7 @@
 // timeout: a request written while the endpoint closes the connection may or may not have been processed.
 func (p *Proxy) returnIdle(now policy.Time, c *connstate.Conn) {
 	if outdated(c) {
-		p.closeConn(c)
+		p.closeConn(c, connstate.EndpointOutdated)
 		return
 	}
 	p.conns.PutIdle(c, now)
@@ -144,7 +144,7 @@
 	case reusable:
 		p.returnIdle(at, c)
 	case c.Connected:
-		p.closeConn(c)
+		p.closeConn(c, connstate.AttemptOver)
 	}
 }
 
@@ -155,7 +155,7 @@
 		last := len(conns.Idle) - 1
 		c := conns.Idle[last]
 		conns.Idle = conns.Idle[:last]
-		p.closeConn(c)
+		p.closeConn(c, connstate.EndpointOutdated)
 	}
 }
 
--- a/internal/httpproxy/proxy.go
+++ b/internal/httpproxy/proxy.go
@@ -34,10 +34,12 @@
 	processes      atomic.Int64 // processes of this instance, this one included
 	limitsSharedBy int          // number of processes for which the limits are currently divided
 	streamCount    int          // number of responses that are being streamed
-	serving        atomic.Bool  // this process accepts clients and is not shutting down
-	awaitingList   bool         // clients are not accepted yet, because the source has not supplied its list
-	drainedAt      policy.Time  // during a shutdown: time from which no client is expected to reconnect
-	acceptUntil    policy.Time  // during a shutdown: time until which new clients are accepted
+	incidents      incidents
+	summary        summary
+	serving        atomic.Bool // this process accepts clients and is not shutting down
+	awaitingList   bool        // clients are not accepted yet, because the source has not supplied its list
+	drainedAt      policy.Time // during a shutdown: time from which no client is expected to reconnect
+	acceptUntil    policy.Time // during a shutdown: time until which new clients are accepted
 }
 
 var _ engine.RulesFront = (*Proxy)(nil)
@@ -185,11 +187,11 @@
 }
 
 // closeConn starts to close a connection. connClosed releases its resources once the poller reports its end.
-func (p *Proxy) closeConn(c *connstate.Conn) {
+func (p *Proxy) closeConn(c *connstate.Conn, reason connstate.CloseReason) {
 	if c.Closing {
 		return
 	}
-	p.conns.MarkClosing(c)
+	p.conns.MarkClosing(c, reason)
 	if c.Connected {
 		_ = c.Socket.Close() // the poller reports the end of the connection
 	}
@@ -203,7 +205,7 @@
 	if oldest == nil || !oldest.Socket.CloseIfIdle(oldest) {
 		return false
 	}
-	p.conns.MarkClosing(oldest)
+	p.conns.MarkClosing(oldest, connstate.IdleConnection)
 	return true
 }
 
@@ -214,6 +216,7 @@
 	}
 	closedHere := c.Closing
 	c.Closing = true
+	p.noteClose(c)
 	switch c.Side {
 	case connstate.ClientSide:
 		p.clientDisconnected(now, c)
--- a/internal/httpproxy/reports.go
+++ b/internal/httpproxy/reports.go
@@ -44,6 +44,9 @@
 	for _, gauge := range gauges {
 		all = append(all, metric{gauge.name, gauge.value, false})
 	}
+	for _, count := range p.incidents.counts(true) {
+		all = append(all, metric{count.name, count.value, true})
+	}
 	return all
 }
 
--- a/internal/httpproxy/responses.go
+++ b/internal/httpproxy/responses.go
@@ -72,6 +72,7 @@
 // Reject answers a request that the decision module has rejected.
 func (p *Proxy) Reject(now policy.Time, request *engine.Request, retryAfter policy.Time) {
 	r := connstate.AsRequest(request)
+	p.noteEnd(r, "request rejected")
 	if c := p.detachClient(now, r, engine.AnswerRejected); c != nil {
 		p.Counters.Rejected++
 		response := localResponse{http.StatusServiceUnavailable, "turned back\n", retryAfter}
@@ -83,6 +84,7 @@
 // Fail answers a request that the decision module has given up as failed.
 func (p *Proxy) Fail(now policy.Time, request *engine.Request) {
 	r := connstate.AsRequest(request)
+	p.noteEnd(r, "request failed")
 	if c := p.detachClient(now, r, engine.AnswerFailed); c != nil {
 		p.Counters.Failed++
 		p.respond(now, c, localResponse{status: http.StatusBadGateway, body: "given up\n"}, r.CloseAfter)
@@ -93,6 +95,7 @@
 // rejectForMemory answers a request for which there is not enough memory.
 func (p *Proxy) rejectForMemory(now policy.Time, c *connstate.Conn) {
 	p.Counters.Overflowed++
+	p.noteRefusal(c, outOfMemory)
 	p.respond(now, c, localResponse{status: http.StatusServiceUnavailable, body: "out of room\n"}, true)
 }
 
@@ -100,6 +103,7 @@
 // unknown.
 func (p *Proxy) refuse(now policy.Time, c *connstate.Conn, refused refusal) {
 	p.Counters.MalformedRequests++
+	p.noteRefusal(c, refused.reason)
 	p.respond(now, c, localResponse{status: refused.status, body: refused.text}, true)
 	p.Timers.Set(&c.Timer, now+lingerTime)
 }
--- a/internal/httpproxy/shutdown.go
+++ b/internal/httpproxy/shutdown.go
@@ -75,7 +75,7 @@
 		recent := p.sharesListener() && keepRecent && now-c.IdleSince < recentUseTime
 		idle := c.Vacant() && !c.Output.CloseWhenFlushed
 		if idle && !recent && c.Socket.CloseIfIdle(c) {
-			p.conns.MarkClosing(c)
+			p.conns.MarkClosing(c, connstate.ShuttingDown)
 		}
 	}
 	return connected
@@ -84,7 +84,7 @@
 // Close closes all connections, releases their resources and stops the poller.
 func (p *Proxy) Close() {
 	for c := range p.conns.Open {
-		p.closeConn(c)
+		p.closeConn(c, connstate.ShuttingDown)
 	}
 	// A dial may outlast closeTimeout; its resources are freed when the process ends.
 	for end := p.Clock.Now() + closeTimeout; len(p.conns.Open) > 0 && p.Clock.Now() < end; {
@@ -93,6 +93,7 @@
 	}
 	p.Timers.Stop(&p.clientLimitTimer)
 	p.Timers.Stop(&p.startTimer)
+	p.Timers.Stop(&p.summary.timer)
 	close(p.sockets.stopped)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(closeTimeout))
 	defer cancel()
--- a/internal/httpproxy/startup.go
+++ b/internal/httpproxy/startup.go
@@ -7,6 +7,7 @@
 
 // start makes the listener accept clients as soon as they can be served.
 func (p *Proxy) start(now policy.Time) {
+	p.startSummaries(now)
 	switch {
 	case p.config.Successor:
 		// Another process is serving. Clients that this one accepted before it can serve would have to wait.
--- a/internal/httpproxy/stream.go
+++ b/internal/httpproxy/stream.go
@@ -224,10 +224,10 @@
 		p.requests.Remove(r)
 		p.Unanswered(r.Request)
 		if r.Response.UntilClose && !c.Closing {
-			p.conns.MarkClosing(c) // an orderly close would look like the end of the response
+			p.conns.MarkClosing(c, connstate.StreamBroken) // an orderly close would look like the end of the response
 			c.Socket.Reset()
 		} else {
-			p.closeConn(c)
+			p.closeConn(c, connstate.StreamBroken)
 		}
 	}
 	p.FinishRequest(r.Request)
@@ -246,7 +246,7 @@
 	r := c.Request
 	switch {
 	case r == nil:
-		p.closeConn(c)
+		p.closeConn(c, connstate.IdleTimeout)
 	case r.Response.Streaming:
 		p.checkStream(now, c, r)
 	}
--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -44,7 +44,8 @@
 	part, ok := decodeBody(&c.Frame, buf.B)
 	if !ok {
 		p.buffers.Put(buf)
-		p.failUpload(now, c, refusal{http.StatusBadRequest, "the body cannot be read, or is too long\n"})
+		p.failUpload(now, c,
+			refusal{http.StatusBadRequest, malformedRequest, "the body cannot be read, or is too long\n"})
 		return
 	}
 	var next *connstate.Buffer
@@ -221,7 +222,7 @@
 	case now < uploadDeadline(c):
 		p.Timers.Set(&c.Timer, uploadDeadline(c))
 	default:
-		p.failUpload(now, c, refusal{http.StatusRequestTimeout, "the request came too slowly\n"})
+		p.failUpload(now, c, refusal{http.StatusRequestTimeout, requestTooSlow, "the request came too slowly\n"})
 	}
 }
 
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -36,7 +36,7 @@
 	if now < r.waitUntil && kind == ordinaryTry {
 		b.enqueue(now, r)
 	} else {
-		b.reject(now, r)
+		b.reject(now, r, EndedByOverload)
 	}
 }
 
@@ -120,9 +120,10 @@
 
 // reject ends the request without an endpoint's answer: as rejected if the client may safely send it again,
 // else as failed.
-func (b *Balancer) reject(now Time, r *request) {
+func (b *Balancer) reject(now Time, r *request, reason EndReason) {
 	class := b.class(r)
 	r.markAnswered()
+	r.endReason = reason
 	repeatable := class.Idempotency == Idempotent || class.Idempotency == Keyed && class.Group == GroupAll
 	if repeatable || !r.mayHaveRun && r.inFlight == 0 {
 		b.noteRejection(now)
--- a/policy/maintenance.go
+++ b/policy/maintenance.go
@@ -120,5 +120,5 @@
 	r.mayHaveRun = r.mayHaveRun || r.inFlight > 0
 	b.queue.removeRequest(&b.requests, r)
 	b.cancel(r)
-	b.reject(now, r)
+	b.reject(now, r, EndedByDeadline)
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -43,6 +43,7 @@
 	ranOn       endpointIndex                    // endpoint of the attempt sent at ranAt; noEndpoint: none
 	tried       [maxTriedEndpoints]endpointIndex // ring of the endpoints of the latest attempts
 	bodyPending bool                             // whether its body is incomplete
+	endReason   EndReason                        // why it ended without an endpoint's answer
 	next        continuation
 }
 
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -32,16 +32,23 @@
 	now := result.now
 	class := b.class(r)
 	needsBudget := r.mayHaveRun || result.outcome == Rejected && b.concurrency.latenessMean > highLoad
-	tooLate := class.LateValue == 0 && now > r.arrivedAt+class.Target
-	exhausted := result.outcome == NotSent || r.attempts >= b.settings.MaxAttempts
-	if exhausted || tooLate || !b.hasAllowedEndpoint(now, r) || needsBudget && !b.retries.available() {
-		b.reject(now, r)
-		return
+	switch {
+	case result.outcome == NotSent:
+		b.reject(now, r, EndedUnsent)
+	case r.attempts >= b.settings.MaxAttempts:
+		b.reject(now, r, EndedByMaxAttempts)
+	case class.LateValue == 0 && now > r.arrivedAt+class.Target:
+		b.reject(now, r, EndedWorthless)
+	case !b.hasAllowedEndpoint(now, r):
+		b.reject(now, r, EndedWithoutEndpoint)
+	case needsBudget && !b.retries.available():
+		b.reject(now, r, EndedByRetryBudget)
+	default:
+		if needsBudget {
+			b.retries.spend()
+		}
+		b.dispatch(now, r, ordinaryTry)
 	}
-	if needsBudget {
-		b.retries.spend()
-	}
-	b.dispatch(now, r, ordinaryTry)
 }
 
 // hasAllowedEndpoint reports whether the request may be sent to any endpoint of the table.
