A response that its endpoint is still writing slowly is not cut off

Cause: a response of unknown length is held back until 64 KiB have come, or until bytes come 0.3 s after its head. A server that writes 64 kB/s in parts of 50 kB has sent one part when the client's time is up, so nothing had been passed on, and the attempt timed out.

Fix, in the same place: when the time of an attempt is up and its endpoint may still be sending, the response is passed on. It may be as long as the bytes so far take at 64 kB/s, and 0.4 s; a hung one has sent too little for that, so it fails by the deadline, and is repeated, as before. A response known to be long may pause for 2 s, and 0.2 s for the machine.

--- a/internal/httpproxy/attempts.go
+++ b/internal/httpproxy/attempts.go
@@ -98,7 +98,8 @@
 		reusable := response.reusable && response.length == len(in) && c.Flushed() && !r.Upload.Active
 		p.takeResponse(r, c, response)
 		p.endAttempt(at, r, outcomeOf(response.status, response.headers), reusable)
-	case p.tryStream(now, at, c, !ok):
+	case ok && p.tryStream(now, at, c, moreArrived):
+	case !ok && p.tryStream(now, at, c, tooLong):
 	case !ok:
 		p.endAttempt(at, r, policy.ConnectionLost, false)
 	}
@@ -147,6 +148,9 @@
 // part of it before the connection closes and never processes it.
 func (p *Proxy) TimedOut(now policy.Time, request *engine.Request) {
 	r := connstate.AsRequest(request)
+	if p.streamInProgress(now, r) {
+		return
+	}
 	outcome := policy.TimedOut
 	if p.abortUnwritten(r) {
 		outcome = policy.NotConnected
--- a/internal/httpproxy/delivery.go
+++ b/internal/httpproxy/delivery.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// minReadRate is the lowest rate at which an endpoint is expected to read a request, in bytes per second.
-	minReadRate = 64_000
+	// minTransferRate is the lowest rate at which an endpoint is expected to read a request or to send a response, in
+	// bytes per second.
+	minTransferRate = 64_000
 	// minRateObservation is the time after which a delivery shows the rate at which the endpoint takes it.
 	minRateObservation = 250 * policy.Millisecond
 	// maxSpeedup is how many times as fast as so far an endpoint may take the rest of a request.
@@ -195,6 +196,6 @@
 	unread := min(delivery.Length, delivery.WidestWindow)
 	read := delivery.Length - unread
 	elapsed := max(now-delivery.Since, policy.Millisecond)
-	bytesPerSecond := max(minReadRate, policy.Time(read)*policy.Second/elapsed)
+	bytesPerSecond := max(minTransferRate, policy.Time(read)*policy.Second/elapsed)
 	return policy.Time(unread) * policy.Second / bytesPerSecond
 }
--- a/internal/httpproxy/stream.go
+++ b/internal/httpproxy/stream.go
@@ -17,10 +17,12 @@
 	// it, or if the endpoint sends nothing while the client still sends the request body.
 	streamStallTimeout = 5 * policy.Second
 	// longBodyPause is how long a long body may pause after its latest bytes once the client's deadline has passed.
-	longBodyPause = policy.Second
+	longBodyPause = 2200 * policy.Millisecond
 	// shortBodyPause is the same for a body that may turn out to be short. It is less than longBodyPause, because a
 	// short response counts as lost half a second after the client's deadline.
 	shortBodyPause = 300 * policy.Millisecond
+	// rateSlack is how far an endpoint that sends at minTransferRate may be behind at any time.
+	rateSlack = 400 * policy.Millisecond
 	// streamCheckInterval is the time between checks of a stream.
 	streamCheckInterval = 250 * policy.Millisecond
 )
@@ -33,14 +35,23 @@
 
 var lastChunk = []byte("0\r\n\r\n")
 
+// streamCause is why an incomplete response is looked at.
+type streamCause uint8
+
+const (
+	moreArrived streamCause = iota // further bytes have arrived
+	tooLong                        // the response is too long to be buffered
+	timeIsUp                       // the attempt times out
+)
+
 // tryStream starts to stream an incomplete response to the client if that is due, and reports whether the response
-// needs no further handling. tooLong means that the response is too long to be buffered.
+// needs no further handling.
 //
 // Once a response is streamed, a failure can no longer be retried and becomes visible to the client; before that it
 // costs only an attempt. So a short response is buffered until it is complete or its attempt ends. A response of
-// unknown length is streamed when bytes arrive later than streamAfter. If its endpoint sends nothing more, streaming
-// would gain nothing, and the attempt fails.
-func (p *Proxy) tryStream(now, at policy.Time, c *connstate.Conn, tooLong bool) bool {
+// unknown length is streamed when bytes arrive later than streamAfter, or when the time is up and its endpoint may
+// still be sending. If its endpoint sends nothing more, streaming would gain nothing, and the attempt fails.
+func (p *Proxy) tryStream(now, at policy.Time, c *connstate.Conn, cause streamCause) bool {
 	r := c.Request
 	in := c.Input.Buffer.B
 	head, ok := parseResponseHead(in, false, r.Response.NoBody)
@@ -58,8 +69,9 @@
 		return true
 	}
 	body := in[head.bodyStart:]
-	due := head.bodySize < 0 && at-c.Input.HeadAt >= streamAfter
-	if !tooLong && !due && head.bodySize <= maxBody && len(body) <= maxBody {
+	due := cause == timeIsUp || at-c.Input.HeadAt >= streamAfter
+	isLong := cause == tooLong || head.bodySize > maxBody || len(body) > maxBody
+	if !isLong && (head.bodySize >= 0 || !due) {
 		return false
 	}
 	c.Frame = newFrame(head.bodySize, head.chunked)
@@ -262,7 +274,7 @@
 		deadline = c.Progress.At + streamStallTimeout
 	default:
 		clientDeadline := r.ReceivedAt + r.ClientTimeLeft - engine.DeadlineMarginTicks*p.Settings.Tick
-		deadline = streamDeadline(c.Frame, c.Progress.At, clientDeadline)
+		deadline = streamDeadline(c.Frame, c.Input.HeadAt, c.Progress.At, clientDeadline)
 	}
 	if now >= deadline {
 		p.breakStream(now, r)
@@ -272,11 +284,35 @@
 }
 
 // streamDeadline returns the time at which a stream is broken if its endpoint sends nothing more. That is the client's
-// deadline, or a time soon after the deadline if the latest bytes arrived shortly before it.
-func streamDeadline(f connstate.Frame, progressAt, clientDeadline policy.Time) policy.Time {
+// deadline, or a time soon after the deadline if the latest bytes arrived shortly before it, or the time by which an
+// endpoint that writes slowly, and in large parts, has sent the next one.
+func streamDeadline(f connstate.Frame, headAt, progressAt, clientDeadline policy.Time) policy.Time {
 	pause := shortBodyPause
 	if f.Kind == sizedBody || f.Received > maxBody { // a short body of known size is never streamed
 		pause = longBodyPause
 	}
-	return max(clientDeadline, progressAt+pause)
+	return max(clientDeadline, progressAt+pause, nextPartBy(headAt, f.Received))
+}
+
+// nextPartBy returns the time by which an endpoint that sends at minTransferRate has sent more than the given number of
+// bytes of a body.
+func nextPartBy(headAt policy.Time, received int64) policy.Time {
+	return headAt + policy.Time(received)*policy.Second/minTransferRate + rateSlack
+}
+
+// streamInProgress starts to stream the response of an attempt whose time is up, if its endpoint may still be sending
+// it. It reports whether it did. The length of such a response is unknown: a long one is timed by its first bytes, and
+// must not be cut off.
+func (p *Proxy) streamInProgress(now policy.Time, r *connstate.Request) bool {
+	c := r.AttemptConn
+	if c == nil || !c.Connected || c.Input.Buffer == nil || r.Response.Streaming || r.Upload.Active || !c.Flushed() {
+		return false
+	}
+	received := int64(len(c.Input.Buffer.B))
+	alive := now-c.Input.ArrivedAt < shortBodyPause || now < nextPartBy(c.Input.HeadAt, received)
+	if c.Input.HeadAt == 0 || !alive || !p.tryStream(now, now, c, timeIsUp) {
+		return false
+	}
+	p.ReportEndedAttempts(now) // before a timer that is due in the same moment ends the request
+	return true
 }
--- a/internal/soak/crowd.go
+++ b/internal/soak/crowd.go
@@ -32,7 +32,7 @@
 	FloodChunks   CrowdKind = "flood-chunks"  // bodies of one-byte chunks, at full speed
 	Quitters      CrowdKind = "quitters"      // send many requests at once and close
 	SameID        CrowdKind = "same-id"       // leave, and send the same id again
-	soundRate               = 80_000          // bytes per second of slow clients; the pages name 64 kB a second
+	soundRate               = 70_000          // bytes per second of slow clients and servers; the pages name 64 kB a second
 	reconnectWait           = 20 * time.Millisecond
 	badAnswerWait           = 4 * time.Second // an error or a close is owed within 3 s
 )
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -215,6 +215,10 @@
 		r.wants.Size = longBody + 1 + random.IntN(150<<10)
 		r.wants.Pieces = 1 + random.IntN(4)
 		r.wants.Gap = time.Duration(random.Float64() * float64(t.LumpPause))
+		if r.wants.Framing != sizedFraming { // it may be long or short until more than longBody have come
+			part := r.wants.Size / r.wants.Pieces
+			r.wants.Gap = time.Duration((0.5 + random.Float64()/2) * float64(part) / soundRate * float64(time.Second))
+		}
 		r.wants.Work += time.Duration(random.IntN(200)) * time.Millisecond
 		return
 	}
