A client that reads slowly is judged by what it takes, not by what the kernel accepts

Cause: progress was the count of bytes that this machine's kernel had accepted. It accepts more only once a third of the send buffer is free, which has some megabytes on loopback: 20 s at 64 kB/s. The same count judged clients that do not read a short response, and endpoints that do not read a body.

Fix: progress is what the peer's kernel has acknowledged (SIOCOUTQ), in all three places. A client that reads nothing is still cut off (TestClientsThatReadNothingAreClosed).

--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -220,7 +220,7 @@
 
 // checkFlush closes the connection of a client that does not read its response.
 func (p *Proxy) checkFlush(now policy.Time, c *connstate.Conn) {
-	if c.Progressed(now, c.Output.Written, flushTimeout) {
+	if c.Progressed(now, taken(c), flushTimeout) {
 		p.Timers.Set(&c.Timer, now+flushCheckInterval)
 		return
 	}
--- a/internal/httpproxy/stream.go
+++ b/internal/httpproxy/stream.go
@@ -267,7 +267,7 @@
 	switch {
 	case r.Client.Unwritten() > 0:
 		c.Progress.At = now // the endpoint may be paused because of the client
-		if !r.Client.Progressed(now, r.Client.Output.Written, streamStallTimeout) {
+		if !r.Client.Progressed(now, taken(r.Client), streamStallTimeout) {
 			deadline = now
 		}
 	case r.Upload.Active: // the client's deadline counts from the end of the request body
@@ -316,3 +316,7 @@
 	p.ReportEndedAttempts(now) // before a timer that is due in the same moment ends the request
 	return true
 }
+
+// taken returns how many bytes of a connection's output the peer's kernel has acknowledged. The kernel of this machine
+// accepts more only once a large part of its buffer is free, so what it accepts does not show whether the peer reads.
+func taken(c *connstate.Conn) int64 { return c.Output.Written - int64(c.Socket.Unacknowledged()) }
--- a/internal/httpproxy/stream_test.go
+++ b/internal/httpproxy/stream_test.go
@@ -178,6 +178,36 @@
 	}
 }
 
+// Guards against a sound client that is cut off: it reads 64 kB/s all the time, but the kernel accepts more for it only once a third of a
+// send buffer of some megabytes is free, which takes longer than a client may read nothing.
+func TestSlowClientGetsItsLongResponse(t *testing.T) {
+	const size, rate, tick = 12 << 20, 64_000, 50 * time.Millisecond
+	r, _ := startProxy(t, nil, respondingEndpoint(t, func(w io.Writer, body *rand.Rand) {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		io.CopyN(w, body, size)
+	}))
+	t.Parallel()
+	c := r.client()
+	c.SetDeadline(time.Now().Add(time.Minute))
+	c.send("step/x", "", "")
+	answer, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, began := sha256.New(), time.Now()
+	for err == nil {
+		if time.Since(began) > time.Duration(streamStallTimeout)+2*time.Second {
+			_, err = io.Copy(h, answer.Body) // it has read slowly for long enough
+			break
+		}
+		_, err = io.CopyN(h, answer.Body, int64(rate*tick/time.Second))
+		time.Sleep(tick)
+	}
+	if err != nil || [32]byte(h.Sum(nil)) != digestOf(size) {
+		t.Errorf("the response was cut off after %v, or is not the one that the endpoint sent: %v", time.Since(began), err)
+	}
+}
+
 // A streamed response that is truncated or becomes malformed ends early for the client, and the request is not retried.
 func TestFailureDuringStreamIsVisibleToClient(t *testing.T) {
 	for name, answer := range map[string]func(w io.Writer, body *rand.Rand){
--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -229,7 +229,7 @@
 // endpointStalled reports whether the endpoint has accepted no bytes of a forwarded body for flushTimeout.
 func (p *Proxy) endpointStalled(now policy.Time, r *connstate.Request) bool {
 	c := r.AttemptConn
-	return r.Upload.Forwarded && c != nil && !c.Progressed(now, c.Output.Written, flushTimeout)
+	return r.Upload.Forwarded && c != nil && !c.Progressed(now, taken(c), flushTimeout)
 }
 
 // failUpload ends a request whose body is malformed, too long or not received in time.
