--- a/cmd/pepperlead-sim/soak.go
+++ b/cmd/pepperlead-sim/soak.go
@@ -21,6 +21,7 @@
 	parallel int
 	daemon   string
 	keep     string
+	debug    bool
 	asJSON   bool
 	out      io.Writer
 }
@@ -43,6 +44,7 @@
 	c.Flags().IntVar(&o.parallel, "parallel", 1, "runs that are played at once")
 	c.Flags().StringVar(&o.daemon, "daemon", "bin/pepperlead", "the daemon's `program`")
 	c.Flags().StringVar(&o.keep, "keep", "", "`folder` in which configurations and logs are kept")
+	c.Flags().BoolVar(&o.debug, "debug", false, "have the daemons log each event of each request")
 	c.Flags().BoolVar(&o.asJSON, "json", false, "print each result as a line of JSON")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		ctx, stop := interruptContext()
@@ -63,7 +65,9 @@
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			report, err := soak.Play(ctx, soak.Options{Program: o.daemon, Plan: o.plan, Seed: seed, Keep: o.keep})
+			report, err := soak.Play(ctx, soak.Options{
+				Program: o.daemon, Plan: o.plan, Seed: seed, Keep: o.keep, Debug: o.debug,
+			})
 			mu.Lock()
 			defer mu.Unlock()
 			if err == nil {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -323,7 +323,7 @@
 		}
 	}
 	if a.complete && timely.After(r.due()) && !r.sentAt.IsZero() {
-		c.run.judge.late++
+		c.run.judge.late = append(c.run.judge.late, r)
 	}
 	c.run.judge.answered++
 }
--- a/internal/soak/crowd.go
+++ b/internal/soak/crowd.go
@@ -19,22 +19,23 @@
 
 // The kinds of crowds. Those marked as sound have a claim to an answer.
 const (
-	SlowWriters   CrowdKind = "slow-writers"  // sound: long bodies at a low rate
-	SlowReaders   CrowdKind = "slow-readers"  // sound: long responses, read at a low rate
-	HalfSenders   CrowdKind = "half-senders"  // stop half way through a long request and stay
-	ManyFields    CrowdKind = "many-fields"   // heads of very many short fields
-	NonReaders    CrowdKind = "non-readers"   // ask for long responses and read nothing
-	Silent        CrowdKind = "silent"        // connect and send nothing
-	FloodReady    CrowdKind = "flood-ready"   // health checks at full speed on one connection
-	FloodLocal    CrowdKind = "flood-local"   // the other paths that a sidecar serves itself, at full speed
-	FloodUnsound  CrowdKind = "flood-unsound" // what cannot be read, at full speed
-	FloodNames    CrowdKind = "flood-names"   // ever new classes, tenants, keys and ids, at full speed
-	FloodChunks   CrowdKind = "flood-chunks"  // bodies of one-byte chunks, at full speed
-	Quitters      CrowdKind = "quitters"      // send many requests at once and close
-	SameID        CrowdKind = "same-id"       // leave, and send the same id again
-	soundRate               = 70_000          // bytes per second of slow clients and servers; the pages name 64 kB a second
-	reconnectWait           = 20 * time.Millisecond
-	badAnswerWait           = 4 * time.Second // an error or a close is owed within 3 s
+	SlowWriters  CrowdKind = "slow-writers"  // sound: long bodies at a low rate
+	SlowReaders  CrowdKind = "slow-readers"  // sound: long responses, read at a low rate
+	HalfSenders  CrowdKind = "half-senders"  // stop half way through a long request and stay
+	ManyFields   CrowdKind = "many-fields"   // heads of very many short fields
+	NonReaders   CrowdKind = "non-readers"   // ask for long responses and read nothing
+	Silent       CrowdKind = "silent"        // connect and send nothing
+	FloodReady   CrowdKind = "flood-ready"   // health checks at full speed on one connection
+	FloodLocal   CrowdKind = "flood-local"   // the other paths that a sidecar serves itself, at full speed
+	FloodUnsound CrowdKind = "flood-unsound" // what cannot be read, at full speed
+	FloodNames   CrowdKind = "flood-names"   // ever new classes, tenants, keys and ids, at full speed
+	FloodChunks  CrowdKind = "flood-chunks"  // bodies of one-byte chunks, at full speed
+	Quitters     CrowdKind = "quitters"      // send many requests at once and close
+	SameID       CrowdKind = "same-id"       // leave, and send the same id again
+	// soundRate is the rate of slow clients and servers in bytes per second; 64 kB a second is the least that is sound.
+	soundRate     = 70_000
+	reconnectWait = 20 * time.Millisecond
+	badAnswerWait = 4 * time.Second // an error or a close is owed within 3 s
 )
 
 // Crowd is a group of clients that connect to each sidecar for a part of the run.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -19,6 +19,11 @@
 	timeoutSlack = 150 * time.Millisecond
 	// lateLimit is how long after its due time an answer still counts as one.
 	lateLimit = 500 * time.Millisecond
+	// lateShare is the share of answers that may come after their due time, and minLate how many always may.
+	lateShare = 0.002
+	minLate   = 2
+	// maxLateNamed is how many late answers are named.
+	maxLateNamed = 4
 )
 
 // Rule names a rule of the protocol.
@@ -104,9 +109,9 @@
 	mu         sync.Mutex
 	requests   map[string]*request
 	violations []Violation
-	unknown    int // requests at servers that no client sent
-	answered   int // requests of well-behaved clients that have ended
-	late       int // those whose answer came after its due time
+	unknown    int        // requests at servers that no client sent
+	answered   int        // requests of well-behaved clients that have ended
+	late       []*request // those whose answer came after its due time
 }
 
 func newJudge() *Judge {
@@ -171,6 +176,21 @@
 	return j.violations
 }
 
+// judgeLateness checks how many answers came after their due time, and names the latest ones.
+func (j *Judge) judgeLateness() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.late) <= max(minLate, int(lateShare*float64(j.answered))) {
+		return
+	}
+	lateness := func(r *request) time.Duration { return r.answeredAt.Sub(r.due()) }
+	sort.Slice(j.late, func(a, b int) bool { return lateness(j.late[a]) > lateness(j.late[b]) })
+	for _, r := range j.late[:min(len(j.late), maxLateNamed)] {
+		j.violateLocked(RuleLate, r.answeredAt, "%d of %d answers, this one by %v: %s",
+			len(j.late), j.answered, lateness(r), j.describe(r))
+	}
+}
+
 // judgeAnswer checks the answer to a request.
 func (j *Judge) judgeAnswer(r *request) {
 	if r.result == lostResult && !r.bad {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -19,6 +19,7 @@
 	Plan    string // name of the plan
 	Seed    uint64
 	Keep    string // directory in which the files of the run are kept; empty: they are removed
+	Debug   bool   // the sidecars log each event
 }
 
 // Report is the result of a run.
@@ -55,13 +56,8 @@
 	maxOpen   int
 }
 
-// lateShare is the share of answers that may come after their due time, beside minLate.
-const (
-	lateShare = 0.002
-	minLate   = 2
-	// settleTime is how long after the end of the traffic attempts may still end.
-	settleTime = 300 * time.Millisecond
-)
+// settleTime is how long after the end of the traffic attempts may still end.
+const settleTime = 300 * time.Millisecond
 
 // Play plays one run and judges it.
 func Play(ctx context.Context, options Options) (*Report, error) {
@@ -278,17 +274,14 @@
 // report judges the run.
 func (r *Run) report() *Report {
 	r.ended.Store(true)
-	allowed := max(minLate, int(lateShare*float64(r.judge.answered)))
-	if r.judge.late > allowed {
-		r.judge.violate(RuleLate, "%d of %d answers came after their due time", r.judge.late, r.judge.answered)
-	}
+	r.judge.judgeLateness()
 	report := &Report{Plan: r.plan.Name, Seed: r.options.Seed, Limits: r.plan.Limits, Results: map[string]int{}}
 	report.Violations = r.judge.finish()
 	for _, request := range r.judge.requests {
 		report.Results[string(request.result)]++
 	}
 	report.Answered = r.judge.answered
-	report.Late = r.judge.late
+	report.Late = len(r.judge.late)
 	report.MaxMemoryKB = r.maxMemory
 	report.MaxOpen = r.maxOpen
 	report.Directory = r.dir
--- a/internal/soak/sidecar.go
+++ b/internal/soak/sidecar.go
@@ -115,6 +115,9 @@
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
 	cmd := exec.Command(s.run.options.Program, "serve")
+	if s.run.options.Debug {
+		cmd.Args = append(cmd.Args, "--log", "debug")
+	}
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+filepath.Join(s.dir, "tmp"), "GW_ADMIN="+admin)
 	cmd.Stdout = log
 	cmd.Stderr = log
