The time of a request with a long body counts from its last byte, wherever that byte waits

Callers of long requests were answered up to seconds after their time, and endpoints were told more time than the client had left. The time counted from when the last byte was read. While an endpoint reads slowly, or its connection is not open yet, reading pauses and the rest of the body waits in the buffers of both kernels: the client has sent everything and its time runs.

The proxy now keeps the latest time at which the client certainly had not sent everything: bytes that arrive after a pause in which everything had been read, or more bytes than buffers hold. A request whose body is incomplete has surely not run, so it may be rejected as such. A client that waited in the accept queue has its time counted from its arrival there.

--- a/internal/connstate/conn.go
+++ b/internal/connstate/conn.go
@@ -146,6 +146,17 @@
 	Start        int  // offset of the body in Input.Buffer while it is collected
 	ContinueSent bool // 100 Continue was sent to the client, which waits for it before it sends the body
 	CloseAfter   bool // the connection closes after the body
+
+	// ReadAt is when a part of the body was last read, or reading was last found to be paused.
+	ReadAt policy.Time
+	// UnsentAt is the latest time at which the client certainly had not sent the whole body.
+	UnsentAt policy.Time
+	// DrainedAt is when everything was read that had arrived; 0 if there may be unread input.
+	DrainedAt policy.Time
+	// MarkAt and MarkBytes are a time and the bytes of the body that had been received by then. Once more bytes have
+	// followed than buffers hold, the client had not sent the whole body at that time.
+	MarkAt    policy.Time
+	MarkBytes int64
 }
 
 // Vacant reports whether the connection carries neither a request nor a part of one.
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -74,24 +74,25 @@
 	e.Module.Begin(now, request.Handle)
 }
 
-// BodyBegun reports that the body of an admitted request is not complete yet. The request has no deadline until
-// BodyComplete is called.
-func (e *Engine) BodyBegun(request *Request) {
+// BodyExpected reports that the body of an admitted request is not complete yet, and the deadline by which the client
+// must be answered if it had sent everything by now; 0: none. It is called again whenever that changes.
+func (e *Engine) BodyExpected(now policy.Time, request *Request, deadline policy.Time) {
 	if !request.Decided {
-		e.Module.BodyPending(request.Handle, false, 0)
+		e.Module.BodyPending(now, request.Handle, false, deadline)
 	}
 }
 
-// BodyComplete reports that the last byte of the body was received. timeout is how long the client waits from now on.
-func (e *Engine) BodyComplete(now policy.Time, request *Request, timeout policy.Time) {
+// BodyComplete reports that the last byte of the body was received. sentAt is when the client has sent it, at the
+// earliest, and timeout how long it waits from then on.
+func (e *Engine) BodyComplete(now, sentAt policy.Time, request *Request, timeout policy.Time) {
 	if request.Decided {
 		return
 	}
-	request.ReceivedAt = now
-	e.Module.BodyPending(request.Handle, true, now+timeout)
+	request.ReceivedAt = sentAt
+	e.Module.BodyPending(now, request.Handle, true, sentAt+timeout)
 	if request.InFlight {
 		request.SentAt = now
-		e.Timers.Set(&request.AttemptTimer, now+max(0, timeout-DeadlineMarginTicks*e.Settings.Tick))
+		e.Timers.Set(&request.AttemptTimer, max(now, sentAt+timeout-DeadlineMarginTicks*e.Settings.Tick))
 	}
 }
 
--- a/internal/httpproxy/admission.go
+++ b/internal/httpproxy/admission.go
@@ -143,7 +143,7 @@
 	retried := string(headerValue(headers, headerRetried)) == "1"
 	p.Admit(now, at, r.Request, incoming.class, tenant, routeKey, retried, incoming.timeLeft)
 	if r.Upload.Active {
-		p.BodyBegun(r.Request)
+		p.expectBody(now, c)
 	}
 }
 
--- a/internal/httpproxy/attempts.go
+++ b/internal/httpproxy/attempts.go
@@ -50,7 +50,7 @@
 	timeout := r.AttemptTimer.At() - now
 	if r.Upload.Active {
 		size = r.Upload.Size
-		timeout = r.ClientTimeLeft
+		timeout = r.Client.Upload.UnsentAt + r.ClientTimeLeft - now
 	}
 	c := r.AttemptConn
 	c.Used = true
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -173,8 +173,7 @@
 
 // setBodyTimer sets the deadline for more bytes of the body.
 func (p *Proxy) setBodyTimer(c *connstate.Conn) {
-	received := policy.Time(len(c.Input.Buffer.B))
-	p.Timers.Set(&c.Timer, c.Input.HeadAt+bodyTimeout+received*policy.Second/minBodyRate)
+	p.Timers.Set(&c.Timer, c.Input.HeadAt+bodyTimeout+transferTime(int64(len(c.Input.Buffer.B))))
 }
 
 // awaitNextRequest prepares a connection whose response was sent for the client's next request.
--- a/internal/httpproxy/input.go
+++ b/internal/httpproxy/input.go
@@ -27,6 +27,9 @@
 	if events&epoll.Readable != 0 {
 		c.Input.Readable = true
 		c.Input.ArrivedAt = at
+		if c.Upload.State != connstate.NoUpload {
+			p.bodyArrived(now, at, c)
+		}
 	}
 	if events&epoll.HungUp != 0 {
 		c.Input.HungUp = true
@@ -107,6 +110,7 @@
 			return
 		}
 		buf.B = buf.B[:n]
+		p.correctArrival(now, c)
 		if n < cap(buf.B) && !c.Input.HungUp {
 			c.Input.Readable = false // the poller reports what comes later
 		}
@@ -114,6 +118,15 @@
 	}
 }
 
+// correctArrival corrects the time at which the first input of a connection arrived, if that was before the poller
+// reported it: the client may have waited in the accept queue.
+func (p *Proxy) correctArrival(now policy.Time, c *connstate.Conn) {
+	if c.Input.Delayed {
+		c.Input.Delayed = false
+		c.Input.ArrivedAt = min(c.Input.ArrivedAt, now-c.Socket.InputAge())
+	}
+}
+
 // readSize returns how many bytes of a connection are read at once.
 func readSize(c *connstate.Conn, reads int) int {
 	missing := c.Input.Needed
@@ -132,6 +145,9 @@
 	switch {
 	case errors.Is(reason, connstate.ErrNoInput):
 		c.Input.Readable = false
+		if c.Upload.State != connstate.NoUpload {
+			p.bodyRead(now, c)
+		}
 		return
 	case errors.Is(reason, connstate.ErrShortOfMemory):
 		p.repeatLater(now, c)
--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -7,6 +7,13 @@
 	"pepperlead/policy"
 )
 
+// maxInTransit is how many bytes of a body the buffers of the client's kernel and of this machine's may hold, which the
+// client has sent and this process has not read: the largest sizes to which Linux grows them by itself.
+const maxInTransit = 4 << 20
+
+// inTransitTime is the time in which such bytes arrive once this machine's kernel has room for them.
+const inTransitTime = 20 * policy.Millisecond
+
 // A request body longer than maxBody is collected in memory if it fits, so that it can be sent again and no endpoint
 // has to wait for the client. Otherwise it is streamed to an endpoint, and an attempt that fails while the body is
 // being forwarded is the last one of the request.
@@ -32,6 +39,11 @@
 		c.Input.HeadAt = now
 	}
 	c.Frame = newFrame(head.bodySize, head.chunked)
+	c.Upload.ReadAt = now
+	c.Upload.UnsentAt = at
+	c.Upload.DrainedAt = 0
+	c.Upload.MarkAt = at
+	c.Upload.MarkBytes = 0
 	in := c.Input.Buffer
 	body := p.buffers.Get(max(1, len(in.B)-head.bodyStart))
 	body.B = append(body.B, in.B[head.bodyStart:]...)
@@ -59,14 +71,69 @@
 		p.forwardUpload(c, buf)
 	}
 	if part.done {
-		p.uploadComplete(now, at, c, next)
+		p.uploadComplete(now, c, next)
 		return
 	}
 	if c.Upload.State != connstate.NoUpload {
+		p.bodyRead(now, c)
 		p.setUploadTimer(now, c)
 	}
 }
 
+// A request's time counts from its last byte, but bytes that a client has sent may lie in the buffers of both kernels
+// while reading is paused for a slow endpoint. So the client must be answered as if it had sent everything soon after
+// it was last seen not to have: when bytes arrived after everything had been read and nothing had come for a while.
+
+// bodyArrived records that bytes of a body have arrived.
+func (p *Proxy) bodyArrived(now, at policy.Time, c *connstate.Conn) {
+	u := &c.Upload
+	if u.DrainedAt > 0 && at-u.DrainedAt > inTransitTime {
+		u.UnsentAt = at
+	}
+	u.DrainedAt = 0
+	p.expectBody(now, c)
+}
+
+// bodyRead records how far a body has been read.
+func (p *Proxy) bodyRead(now policy.Time, c *connstate.Conn) {
+	u := &c.Upload
+	u.ReadAt = now
+	switch {
+	case c.Frame.Received-u.MarkBytes > maxInTransit:
+		u.UnsentAt = max(u.UnsentAt, u.MarkAt)
+		u.MarkAt = now
+		u.MarkBytes = c.Frame.Received
+	case remaining(c) > maxInTransit:
+		u.UnsentAt = now
+	}
+	if !c.Input.Readable && u.DrainedAt == 0 {
+		u.DrainedAt = now
+	}
+	p.expectBody(now, c)
+}
+
+// expectBody tells the engine the deadline of a request whose body is incomplete. There is none while the client has to
+// go on sending.
+func (p *Proxy) expectBody(now policy.Time, c *connstate.Conn) {
+	r := c.Request
+	if r == nil || !r.Upload.Active {
+		return
+	}
+	deadline := c.Upload.UnsentAt + r.ClientTimeLeft
+	if c.Upload.DrainedAt > 0 || remaining(c) > maxInTransit {
+		deadline = 0
+	}
+	p.BodyExpected(now, r.Request, deadline)
+}
+
+// remaining returns how many bytes of the body are certainly still to come.
+func remaining(c *connstate.Conn) int64 {
+	if c.Frame.Kind == sizedBody {
+		return c.Frame.Remaining
+	}
+	return 0
+}
+
 // collectUpload appends a part of a body to the parts collected before, and starts to stream the body once it is too
 // long to be collected.
 func (p *Proxy) collectUpload(now, at policy.Time, c *connstate.Conn, buf *connstate.Buffer, done bool) {
@@ -115,7 +182,7 @@
 }
 
 // uploadComplete handles the end of a body; next holds the bytes received after it.
-func (p *Proxy) uploadComplete(now, at policy.Time, c *connstate.Conn, next *connstate.Buffer) {
+func (p *Proxy) uploadComplete(now policy.Time, c *connstate.Conn, next *connstate.Buffer) {
 	collected := c.Upload.State == connstate.CollectingUpload
 	r := c.Request
 	buf := c.Input.Buffer
@@ -128,7 +195,7 @@
 		body := buf.B[head.bodyStart:]
 		head.bodySize = len(body)
 		head.chunked = false
-		p.handleRequest(now, at, c, buf, parsedRequest{requestHead: head, body: body})
+		p.handleRequest(now, c.Upload.UnsentAt, c, buf, parsedRequest{requestHead: head, body: body})
 	case r == nil:
 		p.responseSent(now, c, c.Upload.CloseAfter)
 	default:
@@ -136,7 +203,7 @@
 		if r.Upload.Forwarded && r.AttemptConn != nil {
 			p.writeBodyEnd(r)
 		}
-		p.BodyComplete(now, r.Request, r.ClientTimeLeft)
+		p.BodyComplete(now, c.Upload.UnsentAt, r.Request, r.ClientTimeLeft)
 	}
 }
 
@@ -218,6 +285,7 @@
 			p.TimedOut(now, r.Request)
 		}
 		c.Input.HeadAt = now - transferTime(c.Frame.Received)
+		c.Upload.ReadAt = now
 		p.Timers.Set(&c.Timer, now+streamCheckInterval)
 	case now < uploadDeadline(c):
 		p.Timers.Set(&c.Timer, uploadDeadline(c))
--- a/internal/httpproxy/upload_test.go
+++ b/internal/httpproxy/upload_test.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"pepperlead/internal/connstate"
 	"pepperlead/internal/epoll"
@@ -316,3 +319,90 @@
 		}
 	}
 }
+
+// Guards against answers seconds after their time, and against endpoints that are told more time than the client has: a client has written
+// its whole body, which waits in the buffers of the kernel, as reading is paused for an endpoint that reads slowly or is dialled late. Its
+// time counts from then on. A client that is slow itself has the time that it takes.
+func TestTimeOfALongBodyCountsFromItsLastByte(t *testing.T) {
+	const size, wait = 1500 << 10, time.Second // too long to be collected
+	for name, k := range map[string]struct {
+		readPause, dialFor, writePause time.Duration
+		chunked                        bool
+		status                         int
+	}{
+		"slow endpoint":                  {readPause: 100 * time.Millisecond, status: 503},
+		"slow endpoint, chunked":         {readPause: 100 * time.Millisecond, chunked: true, status: 503},
+		"late connection":                {dialFor: 400 * time.Millisecond, status: 200},
+		"late connection, chunked":       {dialFor: 400 * time.Millisecond, chunked: true, status: 200},
+		"slow client":                    {writePause: 30 * time.Millisecond, status: 200},
+		"slow client, chunked":           {writePause: 30 * time.Millisecond, chunked: true, status: 200},
+		"slow client, slow endpoint":     {writePause: 120 * time.Millisecond, readPause: 30 * time.Millisecond, status: 200},
+		"slow client, endpoint hangs up": {writePause: 30 * time.Millisecond, readPause: -1, status: 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64 // when the client had written everything, on the clock of began
+			var began time.Time
+			told := make(chan error, 4)
+			addr, _ := readingEndpoint(t, func(r *http.Request, _ int) (int64, [32]byte, bool) {
+				if k.readPause < 0 {
+					return 0, [32]byte{}, false
+				}
+				seconds, _ := strconv.ParseFloat(r.Header.Get("X-Timeout"), 64)
+				left := wait
+				if at := written.Load(); at > 0 {
+					left = time.Duration(at) + wait - time.Since(began)
+				}
+				if timeout := time.Duration(seconds * float64(time.Second)); timeout > left+150*time.Millisecond {
+					told <- fmt.Errorf("the endpoint was told %v, the client has %v", timeout, left)
+				}
+				for err := error(nil); err == nil && k.readPause > 0; {
+					_, err = io.CopyN(io.Discard, r.Body, 16<<10)
+					time.Sleep(k.readPause)
+				}
+				return readAll(r, 1)
+			})
+			r, _ := startProxy(t, func(p *Config) { withLittleMemory(p); p.ConnectTimeout = 2 * policy.Second }, addr)
+			if k.dialFor > 0 {
+				_, release := r.blockDials(1)
+				time.AfterFunc(k.dialFor, func() { close(release) })
+			}
+			t.Parallel()
+			c := r.client()
+			c.SetDeadline(time.Now().Add(20 * time.Second))
+			framing := fmt.Sprintf("Content-Length: %d\r\n\r\n", size)
+			if k.chunked {
+				framing = "Transfer-Encoding: chunked\r\n\r\n"
+			}
+			began = time.Now()
+			go func() {
+				fmt.Fprintf(c, "POST /step/x HTTP/1.1\r\nHost: o\r\nX-Request-ID: a\r\nX-Timeout: 1\r\n%s", framing)
+				part := strings.Repeat("b", 50<<10)
+				text := part
+				if k.chunked {
+					text = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+				}
+				for range size / len(part) {
+					io.WriteString(c, text)
+					time.Sleep(k.writePause)
+				}
+				if k.chunked {
+					io.WriteString(c, "0\r\n\r\n")
+				}
+				written.Store(int64(time.Since(began)))
+			}()
+			answer, err := http.ReadResponse(c.in, nil)
+			took := time.Since(began)
+			if err != nil || answer.StatusCode != k.status {
+				t.Fatalf("got response %v, error %v after %v, want status %d", answer, err, took, k.status)
+			}
+			if due := time.Duration(written.Load()) + wait + 50*time.Millisecond; written.Load() > 0 && took > due {
+				t.Errorf("the answer came after %v, it was due after %v", took, due)
+			}
+			select {
+			case err := <-told:
+				t.Error(err)
+			default:
+			}
+		})
+	}
+}
--- a/policy/concurrencylimit_test.go
+++ b/policy/concurrencylimit_test.go
@@ -146,7 +146,7 @@
 	for range 3 * initialEndpointLimit {
 		handle := b.Admit(now, 0, NoTenant, "", false, Second)
 		b.Begin(now, handle)
-		b.BodyPending(handle, false, 0)
+		b.BodyPending(now, handle, false, 0)
 		handles = append(handles, handle)
 	}
 	if len(front.sentTo) != len(handles) || b.concurrency.inFlight != len(handles) || b.concurrency.bodyPending != len(handles) || b.table.endpoints[0].processing() != 0 {
@@ -158,8 +158,8 @@
 	}
 	now += 10 * Second
 	for _, handle := range handles {
-		b.BodyPending(handle, true, now+Second)
-		b.BodyPending(handle, true, now+Second)
+		b.BodyPending(now, handle, true, now+Second)
+		b.BodyPending(now, handle, true, now+Second)
 	}
 	handle := b.Admit(now, 0, NoTenant, "", false, Second)
 	if b.Begin(now, handle); b.processingAt(0) != len(handles) || len(front.sentTo) != len(handles) {
@@ -187,9 +187,9 @@
 				case 1:
 					handle = b.Admit(now, 0, NoTenant, "", false, 60*Second)
 					b.Begin(now, handle)
-					b.BodyPending(handle, false, 0)
+					b.BodyPending(now, handle, false, 0)
 				case 2:
-					b.BodyPending(handle, true, now+60*Second)
+					b.BodyPending(now, handle, true, now+60*Second)
 				}
 				if step == shutdownAfter {
 					b.Shutdown(now, by)
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -125,7 +125,8 @@
 	r.markAnswered()
 	r.endReason = reason
 	repeatable := class.Idempotency == Idempotent || class.Idempotency == Keyed && class.Group == GroupAll
-	if repeatable || !r.mayHaveRun && r.inFlight == 0 {
+	// An endpoint cannot run a request whose body is incomplete.
+	if repeatable || !r.mayHaveRun && (r.inFlight == 0 || r.bodyPending) {
 		b.noteRejection(now)
 		b.front.Reject(r.handle(), min(b.settings.MaxRetryAfter, class.Target))
 	} else {
@@ -161,23 +162,23 @@
 	}
 }
 
-// BodyPending is called with complete false if the body of an admitted request is not complete yet, and with
-// complete true once it is. In the second case, deadline is the request's deadline from then on. Between the
-// two calls, the request has no deadline and its attempt counts against no limit. During a shutdown, the end
-// of the shutdown is the deadline in both cases, if the given one is not earlier.
-func (b *Balancer) BodyPending(handle Handle, complete bool, deadline Time) {
+// BodyPending is called with complete false while the body of an admitted request is not complete, and with
+// complete true once it is. deadline is the request's deadline from then on; 0 means none. Between the two,
+// its attempt counts against no limit. During a shutdown, the end of the shutdown is the deadline, if the
+// given one is not earlier.
+func (b *Balancer) BodyPending(now Time, handle Handle, complete bool, deadline Time) {
 	r := b.requests.lookup(handle)
-	if r == nil || r.answered || r.bodyPending != complete {
+	if r == nil || r.answered || complete && !r.bodyPending {
 		return
 	}
 	index := r.lastTried()
 	b.countBodyPending(r, index, -r.inFlight)
 	r.bodyPending = !complete
-	r.deadline = b.shutdownAt
-	if complete {
-		r.deadline = min(deadline, b.shutdownAt)
-	}
 	b.countBodyPending(r, index, r.inFlight)
+	r.deadline = min(cmp.Or(deadline, never), b.shutdownAt)
+	if r.deadline != never {
+		b.wake(now, b.answerBy(r))
+	}
 }
 
 // countBodyPending adds to the counts of attempts with incomplete bodies if the request's body is incomplete.
--- a/policy/maintenance.go
+++ b/policy/maintenance.go
@@ -117,7 +117,7 @@
 		b.wake(now, due)
 		return
 	}
-	r.mayHaveRun = r.mayHaveRun || r.inFlight > 0
+	r.mayHaveRun = r.mayHaveRun || r.inFlight > 0 && !r.bodyPending
 	b.queue.removeRequest(&b.requests, r)
 	b.cancel(r)
 	b.reject(now, r, EndedByDeadline)
