A request that was answered before the end of its body gets no second answer

A client whose request was answered while its body was still arriving got a 400 or 408 on top if the body then stopped or could not be read: the failure of the upload was answered without a look at whether the request still was open. The connection now ends without a further answer.

--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -300,11 +300,18 @@
 	return r.Upload.Forwarded && c != nil && !c.Progressed(now, taken(c), flushTimeout)
 }
 
-// failUpload ends a request whose body is malformed, too long or not received in time.
+// failUpload ends a request whose body is malformed, too long or not received in time. If the request was answered
+// before the end of its body, the connection ends without a second answer.
 func (p *Proxy) failUpload(now policy.Time, c *connstate.Conn, refused refusal) {
+	answered := c.Upload.State == connstate.StreamingUpload && c.Request == nil
 	if r := c.Request; r != nil {
 		p.abandonRequest(now, c, r)
 	}
 	p.endUpload(c)
+	if answered {
+		p.noteRefusal(c, refused.reason)
+		p.responseSent(now, c, true)
+		return
+	}
 	p.refuse(now, c, refused)
 }
--- a/internal/httpproxy/upload_test.go
+++ b/internal/httpproxy/upload_test.go
@@ -320,6 +320,28 @@
 	}
 }
 
+// Guards against a second answer to one request: once a request is answered before the end of its body, a body that stops, or cannot be
+// read, ends the connection without a further answer.
+func TestBodyAfterItsAnswerGetsNoSecondAnswer(t *testing.T) {
+	r, _ := startProxy(t, withLittleMemory, newFakeEndpoint(t).Addr().String())
+	for name, k := range map[string]struct{ head, body, rest string }{
+		"stops": {"Content-Length: 3000000\r\n", strings.Repeat("x", 2_000_000), ""},
+		"cannot be read": {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n", 2_000_000, strings.Repeat("x", 2_000_000)),
+			"no size\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := r.client()
+			go fmt.Fprintf(c, "POST /_health HTTP/1.1\r\nHost: o\r\n%s\r\n%s%s", k.head, k.body, k.rest)
+			c.SetDeadline(time.Now().Add(2 * time.Minute))
+			got, err := io.ReadAll(c.in)
+			if n := strings.Count(string(got), "HTTP/1.1 "); n != 1 || !strings.HasPrefix(string(got), "HTTP/1.1 200 OK") {
+				t.Errorf("got %d answers, then %v: %q", n, err, got)
+			}
+		})
+	}
+}
+
 // Guards against answers seconds after their time, and against endpoints that are told more time than the client has: a client has written
 // its whole body, which waits in the buffers of the kernel, as reading is paused for an endpoint that reads slowly or is dialled late. Its
 // time counts from then on. A client that is slow itself has the time that it takes.
