A client that stops in the middle of a body is answered within 2.5 seconds

A client that had sent 2 MB of a longer body and then nothing was waited for during two minutes: the time for a body grows with what was received, and nothing bounded a pause.

A pause of a body is now bounded by bodyStallTimeout, 2 s.

--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -18,6 +18,8 @@
 	bodyTimeout = 1500 * policy.Millisecond
 	// minBodyRate is the lowest accepted rate of a body, in bytes per second.
 	minBodyRate = 16 << 10
+	// bodyStallTimeout is how long a client may send nothing of a body, however much it has sent before.
+	bodyStallTimeout = 2 * policy.Second
 	// idleCloseAfter is how long a connection must be idle before it may be closed. On one used more recently the next
 	// request may already be on its way.
 	idleCloseAfter = 2 * policy.Second
@@ -96,7 +98,7 @@
 func (p *Proxy) readRequest(now policy.Time, c *connstate.Conn) bool {
 	in := c.Input.Buffer
 	if len(in.B) < c.Input.Needed && !p.buffers.Full() {
-		p.setBodyTimer(c)
+		p.setBodyTimer(now, c)
 		return false
 	}
 	skipEmptyLines(in)
@@ -164,7 +166,7 @@
 				c.Input.Needed = head.length + body.size
 			}
 		}
-		p.setBodyTimer(c)
+		p.setBodyTimer(now, c)
 	case !c.Timer.Active() || c.Idle:
 		p.Timers.Set(&c.Timer, now+headTimeout)
 	}
@@ -172,8 +174,9 @@
 }
 
 // setBodyTimer sets the deadline for more bytes of the body.
-func (p *Proxy) setBodyTimer(c *connstate.Conn) {
-	p.Timers.Set(&c.Timer, c.Input.HeadAt+bodyTimeout+transferTime(int64(len(c.Input.Buffer.B))))
+func (p *Proxy) setBodyTimer(now policy.Time, c *connstate.Conn) {
+	deadline := c.Input.HeadAt + bodyTimeout + transferTime(int64(len(c.Input.Buffer.B)))
+	p.Timers.Set(&c.Timer, min(deadline, now+bodyStallTimeout))
 }
 
 // awaitNextRequest prepares a connection whose response was sent for the client's next request.
--- a/internal/httpproxy/stream_test.go
+++ b/internal/httpproxy/stream_test.go
@@ -381,11 +381,12 @@
 	}
 }
 
-// A client that stops sending in the middle of a long body gets 408, its connection is closed, and its request ends.
+// A client that stops sending in the middle of a long body gets 408 within 2.5 s, its connection is closed, and its request ends. Guards
+// against a wait that grows with what the client has sent before.
 func TestStalledLongBodyGets408(t *testing.T) {
 	addr, _ := readingEndpoint(t, readAll)
 	r, _ := startProxy(t, nil, addr)
-	for _, n := range []int{100 << 10, 5 << 20} {
+	for n, sent := range map[int]int64{90 << 10: 80 << 10, 100 << 10: 20 << 10, 5 << 20: 2 << 20} {
 		c := r.client()
 		lastID++
 		fmt.Fprintf(c, "POST /step/x HTTP/1.1\r\nHost: o\r\nX-Request-ID: id-%d\r\nX-Timeout: 1\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", lastID, n)
@@ -393,9 +394,10 @@
 			t.Errorf("got %q, want 100 Continue", line)
 		}
 		c.in.ReadString('\n')
-		io.CopyN(c, rand.New(rand.NewSource(1)), 20<<10)
-		if a, _ := c.receive(); a.StatusCode != 408 {
-			t.Errorf("body of %d bytes: got %s, want 408", n, a.Status)
+		io.CopyN(c, rand.New(rand.NewSource(1)), sent)
+		stopped := time.Now()
+		if a, _ := c.receive(); a.StatusCode != 408 || time.Since(stopped) > 2500*time.Millisecond {
+			t.Errorf("body of %d bytes: got %s after %v, want 408 within 2.5 s", n, a.Status, time.Since(stopped))
 		}
 	}
 	if r.Metrics.Written.Load() != 0 || r.Metrics.Pending.Load() != 0 {
--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -263,7 +263,7 @@
 
 // uploadDeadline returns the time by which more of the body must have arrived.
 func uploadDeadline(c *connstate.Conn) policy.Time {
-	return c.Input.HeadAt + bodyTimeout + transferTime(c.Frame.Received)
+	return min(c.Input.HeadAt+bodyTimeout+transferTime(c.Frame.Received), c.Upload.ReadAt+bodyStallTimeout)
 }
 
 // transferTime returns how long the transfer of this many bytes of a body may take.
