Floods of short chunks or connection options delay no other client

Rounds of the loop took up to 199 ms (trial with timed rounds), for two causes:

- A chunked body that arrives in many parts was measured from its start for each part.
The complete chunks are now remembered, for requests and responses alike.
- Each header is compared with each option of the Connection header: 80 ms for a head of 16 KiB made for this.
A message may list 100 options now; more are refused like any malformed head.

--- a/internal/connstate/conn.go
+++ b/internal/connstate/conn.go
@@ -90,6 +90,7 @@
 	Needed    int         // total size of the message in Buffer; 0: unknown
 	HeadAt    policy.Time // when the head of the message in Buffer was complete; 0: not yet
 	ArrivedAt policy.Time // when the latest input arrived
+	Chunks    WholeChunks // those at the start of a chunked body in Buffer that need not be measured again
 	Readable  bool        // the socket may have input that is not read yet
 	Paused    bool        // reading is paused until earlier bytes have been forwarded
 	Delayed   bool        // the latest input may have arrived long before the poller reported it
@@ -97,6 +98,12 @@
 	EOF       bool        // the peer's orderly end was read; otherwise the connection was reset
 }
 
+// WholeChunks describes the complete chunks at the start of an incomplete chunked body.
+type WholeChunks struct {
+	Length int // encoded, in bytes
+	Size   int // decoded, in bytes
+}
+
 // Output is the state of writing to a connection.
 type Output struct {
 	Queued           int64         // total bytes to send, including those that the kernel has not accepted yet
--- a/internal/httpproxy/attempts.go
+++ b/internal/httpproxy/attempts.go
@@ -92,7 +92,7 @@
 	if len(in) < c.Input.Needed {
 		return
 	}
-	response, ok := parseResponse(in, false, r.Response.NoBody, maxBody)
+	response, ok := parseResponse(in, false, r.Response.NoBody, maxBody, &c.Input.Chunks)
 	switch {
 	case response.length > 0:
 		reusable := response.reusable && response.length == len(in) && c.Flushed() && !r.Upload.Active
@@ -134,7 +134,7 @@
 		return
 	}
 	if c.Input.Buffer != nil {
-		response, ok := parseResponse(c.Input.Buffer.B, ended, r.Response.NoBody, maxBody)
+		response, ok := parseResponse(c.Input.Buffer.B, ended, r.Response.NoBody, maxBody, &c.Input.Chunks)
 		if ok && response.length > 0 {
 			p.takeResponse(r, c, response)
 			p.endAttempt(at, r, outcomeOf(response.status, response.headers), false)
--- a/internal/httpproxy/chunked.go
+++ b/internal/httpproxy/chunked.go
@@ -1,6 +1,10 @@
 package httpproxy
 
-import "bytes"
+import (
+	"bytes"
+
+	"pepperlead/internal/connstate"
+)
 
 // Limits of the line with the size of a chunk.
 const (
@@ -15,10 +19,12 @@
 }
 
 // measureChunks measures the chunked body at the start of b. ok is false if the body is malformed or longer than limit;
-// in the latter case size exceeds limit.
-func measureChunks(b []byte, limit int) (extent chunkedExtent, ok bool) {
-	length, size := 0, 0
+// in the latter case size exceeds limit. It begins after the given chunks, and adds to them those that are complete now,
+// so that no chunk is measured twice while a body arrives in many parts.
+func measureChunks(b []byte, limit int, whole *connstate.WholeChunks) (extent chunkedExtent, ok bool) {
+	length, size := whole.Length, whole.Size
 	for {
+		whole.Length, whole.Size = length, size
 		if length > maxChunkOverhead*limit {
 			return chunkedExtent{size: limit + 1}, false
 		}
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -108,7 +108,7 @@
 		return false
 	}
 	at := c.Input.ArrivedAt
-	request, status := parseRequest(in.B, maxBody)
+	request, status := parseRequest(in.B, maxBody, &c.Input.Chunks)
 	switch {
 	case status == http.StatusRequestEntityTooLarge && request.bodySize <= maxStreamedBody:
 		p.beginUpload(now, at, c, request.requestHead)
@@ -130,6 +130,7 @@
 	c.Upload.ContinueSent = false
 	c.Input.HeadAt = 0
 	c.Input.Needed = 0
+	c.Input.Chunks = connstate.WholeChunks{}
 	c.Input.Buffer = p.copyOf(in.B[request.length:])
 	p.handleRequest(now, at, c, in, request)
 	return true
--- a/internal/httpproxy/endpointconns.go
+++ b/internal/httpproxy/endpointconns.go
@@ -165,6 +165,7 @@
 	r.AttemptConn = nil
 	c.Request = nil
 	c.Input.Needed = 0
+	c.Input.Chunks = connstate.WholeChunks{}
 	c.Input.HeadAt = 0
 	c.Input.Paused = false
 	p.Timers.Stop(&c.Timer)
--- a/internal/httpproxy/header.go
+++ b/internal/httpproxy/header.go
@@ -10,6 +10,9 @@
 	maxHead          = 16 << 10 // maximum length of a head, in bytes
 	maxBody          = 64 << 10 // bytes; a longer body is not handled as one message, but part by part as it arrives
 	maxChunkOverhead = 8        // maximum ratio of a chunked body's encoded length to the maximum body size
+
+	// maxConnectionOptions is how many options the Connection header may list; each is compared with each header.
+	maxConnectionOptions = 100
 )
 
 var (
@@ -170,6 +173,9 @@
 			}
 			f.chunked = true
 		case equalFold(first.name, "Connection"):
+			if bytes.Count(first.value, []byte{','}) >= maxConnectionOptions {
+				return framing{}, false
+			}
 			f.closing = f.closing || hasToken(first.value, "close")
 		}
 	}
--- a/internal/httpproxy/limits_test.go
+++ b/internal/httpproxy/limits_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -224,6 +225,69 @@
 	}
 }
 
+// Guards against answers that are late because other clients send what takes long to read: half of the answers to a sound client come
+// within the time that a few requests take, whatever a dozen others send at full speed.
+func TestFloodsDelayNoOtherClient(t *testing.T) {
+	const head = "POST /step/x HTTP/1.1\r\nHost: o\r\nX-Timeout: 1\r\n"
+	for name, text := range map[string]string{
+		"short chunks": head + "X-Request-ID: c\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", 60000) + "z",
+		"connection options": strings.Repeat(head+"X-Request-ID: c\r\nConnection: "+strings.Repeat("f,", 4000)+"f\r\n"+
+			strings.Repeat("g:\r\n", 1900)+"\r\n", 8),
+		"many requests": strings.Repeat("GET /_servers HTTP/1.1\r\nHost: o\r\n\r\nGET /_counters HTTP/1.1\r\nHost: o\r\n\r\n", 200),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := startProxy(t, nil, newFakeEndpoint(t).Addr().String())
+			end := make(chan struct{})
+			var wait sync.WaitGroup
+			defer wait.Wait()
+			defer close(end)
+			for range 12 {
+				wait.Go(func() { floodUntil(end, r.addr, text) })
+			}
+			time.Sleep(100 * time.Millisecond)
+			var took []time.Duration
+			for range 21 {
+				began := time.Now()
+				c := r.client()
+				c.send("/step/x", "", "")
+				c.receive()
+				took = append(took, time.Since(began))
+			}
+			slices.Sort(took)
+			if took[len(took)/2] > 50*time.Millisecond {
+				t.Errorf("half of the answers took %v or longer, the slowest one %v", took[len(took)/2], took[len(took)-1])
+			}
+		})
+	}
+}
+
+// floodUntil sends a text again and again, on a new connection whenever one is closed, and discards the answers.
+func floodUntil(end <-chan struct{}, addr, text string) {
+	for {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return // the rest of the test fails too
+		}
+		var discarding sync.WaitGroup
+		discarding.Go(func() { io.Copy(io.Discard, c) })
+		ended := false
+		for err == nil && !ended {
+			c.SetWriteDeadline(time.Now().Add(time.Second))
+			_, err = io.WriteString(c, text)
+			select {
+			case <-end:
+				ended = true
+			default:
+			}
+		}
+		c.Close()
+		discarding.Wait()
+		if ended {
+			return
+		}
+	}
+}
+
 // Both ends close their connections at the same time. Events of a closed connection must not affect a new one that reuses its descriptor.
 func TestSimultaneousClosesLoseNoRequests(t *testing.T) {
 	r, _ := startProxy(t, nil, newFakeEndpoint(t).Addr().String())
--- a/internal/httpproxy/parse_test.go
+++ b/internal/httpproxy/parse_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"testing/quick"
 
+	"pepperlead/internal/connstate"
 	"pepperlead/policy"
 )
 
@@ -40,28 +41,30 @@
 	return body, append([]byte(fmt.Sprintf("Host: a\r\ncontent-length:  %d \r\n\r\n", len(body))), body...)
 }
 
-// Every proper prefix of a message is incomplete, and the whole message is parsed even if more bytes follow.
+// Every proper prefix of a message is incomplete, and the whole message is parsed even if more bytes follow. The chunks that were measured
+// in one prefix are not measured again in the next one.
 func TestMessagePrefixesAreIncomplete(t *testing.T) {
 	quickCheck(t, 1, func(seed int64) bool {
 		r := rand.New(rand.NewSource(seed))
 		body, rest := randomMessage(r)
 		request := append([]byte("POST /step/a?b=1 HTTP/1.1\r\n"), rest...)
 		response := append([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"), rest...)
+		var ofRequest, ofResponse connstate.WholeChunks
 		for i := range request {
-			if got, status := parseRequest(bytes.Clone(request[:i]), maxBody); got.length != 0 || status != 0 {
+			if got, status := parseRequest(bytes.Clone(request[:i]), maxBody, &ofRequest); got.length != 0 || status != 0 {
 				return false
 			}
 		}
 		for i := range response {
-			if got, ok := parseResponse(bytes.Clone(response[:i]), false, false, maxBody); got.length != 0 || !ok {
+			if got, ok := parseResponse(bytes.Clone(response[:i]), false, false, maxBody, &ofResponse); got.length != 0 || !ok {
 				return false
 			}
-			if got, ok := parseResponse(bytes.Clone(response[:i]), true, false, maxBody); got.length != 0 || ok {
+			if got, ok := parseResponse(bytes.Clone(response[:i]), true, false, maxBody, new(connstate.WholeChunks)); got.length != 0 || ok {
 				return false // a truncated response is never complete
 			}
 		}
-		parsed, status := parseRequest(append(bytes.Clone(request), "GET"...), maxBody)
-		reply, ok := parseResponse(append(bytes.Clone(response), '!'), false, false, maxBody)
+		parsed, status := parseRequest(append(bytes.Clone(request), "GET"...), maxBody, &ofRequest)
+		reply, ok := parseResponse(append(bytes.Clone(response), '!'), false, false, maxBody, &ofResponse)
 		return parsed.length == len(request) && string(parsed.method) == "POST" && string(parsed.target) == "/step/a?b=1" &&
 			!parsed.closeAfter && status == 0 && bytes.Equal(parsed.body, body) && reply.length == len(response) &&
 			reply.status == 200 && bytes.Equal(reply.body, body) && reply.reusable && ok
@@ -104,7 +107,7 @@
 		"G@T / HTTP/1.1\r\nHost: a\r\n\r\n":   400,
 		"GET /\x7f HTTP/1.1\r\nHost: a\r\n\r": 0, // the head is incomplete; it is refused once it is complete
 	} {
-		if _, status := parseRequest([]byte(in), maxBody); status != want {
+		if _, status := parseRequest([]byte(in), maxBody, new(connstate.WholeChunks)); status != want {
 			t.Errorf("%.80q: status %d, want %d", in, status, want)
 		}
 	}
@@ -132,7 +135,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r":                    policy.ConnectionLost,
 	} {
 		got := policy.ConnectionLost
-		if response, ok := parseResponse([]byte(in), false, false, maxBody); ok && response.length > 0 {
+		if response, ok := parseResponse([]byte(in), false, false, maxBody, new(connstate.WholeChunks)); ok && response.length > 0 {
 			got = outcomeOf(response.status, response.headers)
 		}
 		if got != want {
@@ -140,7 +143,7 @@
 		}
 	}
 	in := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end"
-	response, ok := parseResponse([]byte(in), true, false, maxBody)
+	response, ok := parseResponse([]byte(in), true, false, maxBody, new(connstate.WholeChunks))
 	if response.length == 0 || string(response.body) != "to the end" || response.reusable || !ok {
 		t.Errorf("response whose body ends with the connection: got %+v, ok %v", response, ok)
 	}
@@ -154,7 +157,7 @@
 		"HTTP/1.1 " + strings.Repeat("2", 300), strings.Repeat("HTTP/1.1 102 P\r\n\r\n", maxHead/18+1),
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1;"+strings.Repeat("x", 99)+"\r\na\r\n", 6000),
 		"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: pppppppppppp\r\n", maxHead/21+1)} {
-		if _, ok := parseResponse([]byte(in), false, false, maxBody); ok {
+		if _, ok := parseResponse([]byte(in), false, false, maxBody, new(connstate.WholeChunks)); ok {
 			t.Errorf("%.80q: taken for an incomplete response", in)
 		}
 	}
@@ -192,7 +195,7 @@
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		original := bytes.Clone(in)
-		request, status := parseRequest(in, maxBody)
+		request, status := parseRequest(in, maxBody, new(connstate.WholeChunks))
 		if request.length > len(in) || request.length > 0 && status != 0 || len(request.body) > maxBody {
 			t.Fatalf("parsed %d of %d bytes, with status %d and a body of %d bytes", request.length, len(in), status, len(request.body))
 		}
@@ -203,7 +206,7 @@
 		size := len(request.body)
 		out := appendRequestHead(nil, request.method, request.target, request.headers, size, policy.Second)
 		out = append(out, request.body...)
-		again, status := parseRequest(append(out, original[request.length:]...), maxBody)
+		again, status := parseRequest(append(out, original[request.length:]...), maxBody, new(connstate.WholeChunks))
 		if status != 0 || (again.length != len(out) || !bytes.Equal(again.body, request.body) ||
 			!bytes.Equal(again.target, request.target)) {
 			t.Fatalf("%q was forwarded as %q", original, out)
@@ -214,7 +217,7 @@
 func FuzzParseResponse(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"), false)
 	f.Fuzz(func(t *testing.T, in []byte, ended bool) {
-		response, ok := parseResponse(in, ended, false, maxBody)
+		response, ok := parseResponse(in, ended, false, maxBody, new(connstate.WholeChunks))
 		if response.length > len(in) || response.length > 0 && !ok ||
 			response.status == 200 && len(response.body) > maxBody {
 			t.Fatalf("parsed %d of %d bytes, with ok %v and a body of %d bytes", response.length, len(in), ok, len(response.body))
--- a/internal/httpproxy/request.go
+++ b/internal/httpproxy/request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"pepperlead/internal/connstate"
 	"pepperlead/policy"
 )
 
@@ -110,8 +111,8 @@
 }
 
 // parseRequest parses the request at the start of b. status is 413 if the body exceeds maxSize, another status code if
-// the request must be refused, and 0 if it is valid so far.
-func parseRequest(b []byte, maxSize int) (request parsedRequest, status int) {
+// the request must be refused, and 0 if it is valid so far. whole is that of measureChunks.
+func parseRequest(b []byte, maxSize int, whole *connstate.WholeChunks) (request parsedRequest, status int) {
 	head, status := parseRequestHead(b)
 	request.requestHead = head
 	switch {
@@ -120,7 +121,7 @@
 	case head.bodySize > maxSize:
 		return request, http.StatusRequestEntityTooLarge
 	case head.chunked:
-		extent, ok := measureChunks(b[head.bodyStart:], maxSize)
+		extent, ok := measureChunks(b[head.bodyStart:], maxSize, whole)
 		switch {
 		case extent.size > maxSize:
 			return request, http.StatusRequestEntityTooLarge
--- a/internal/httpproxy/response.go
+++ b/internal/httpproxy/response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"pepperlead/internal/connstate"
 	"pepperlead/policy"
 )
 
@@ -71,15 +72,17 @@
 	reusable bool // the connection can carry another request after the response
 }
 
-// parseResponse parses the response at the start of b, whose body may have up to maxSize bytes. The other parameters
-// are those of parseResponseHead.
-func parseResponse(b []byte, ended, noBody bool, maxSize int) (response parsedResponse, ok bool) {
+// parseResponse parses the response at the start of b, whose body may have up to maxSize bytes. whole is that of
+// measureChunks, the other parameters are those of parseResponseHead.
+func parseResponse(
+	b []byte, ended, noBody bool, maxSize int, whole *connstate.WholeChunks,
+) (response parsedResponse, ok bool) {
 	head, ok := parseResponseHead(b, ended, noBody)
 	switch {
 	case !ok || head.bodyStart == 0 || head.bodySize > maxSize:
 		return parsedResponse{}, ok && head.bodySize <= maxSize
 	case head.chunked:
-		extent, ok := measureChunks(b[head.bodyStart:], maxSize)
+		extent, ok := measureChunks(b[head.bodyStart:], maxSize, whole)
 		if !ok || extent.length == 0 {
 			return parsedResponse{}, ok && !ended
 		}
--- a/internal/httpproxy/stream_test.go
+++ b/internal/httpproxy/stream_test.go
@@ -26,7 +26,7 @@
 		f.Add([]byte(in), int64(3))
 	}
 	f.Fuzz(func(t *testing.T, in []byte, seed int64) {
-		extent, ok := measureChunks(in, maxBody)
+		extent, ok := measureChunks(in, maxBody, new(connstate.WholeChunks))
 		used := extent.length
 		complete := ok && used > 0
 		var want []byte
--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -35,6 +35,7 @@
 	c.Upload.Size = head.bodySize
 	c.Upload.Start = head.bodyStart
 	c.Input.Needed = 0
+	c.Input.Chunks = connstate.WholeChunks{}
 	if c.Input.HeadAt == 0 {
 		c.Input.HeadAt = now
 	}
