A client that sends a long body steadily keeps its whole time

If everything was read soon during the last 20 ms, the kernel cannot have held back bytes, so what arrives now was sent within that time.

--- a/internal/connstate/conn.go
+++ b/internal/connstate/conn.go
@@ -158,6 +158,10 @@
 	ReadAt policy.Time
 	// UnsentAt is the latest time at which the client certainly had not sent the whole body.
 	UnsentAt policy.Time
+	// ArrivedAt is when the oldest input arrived that was not read yet when it was last looked at.
+	ArrivedAt policy.Time
+	// ReadSoonSince is the time since which all input was read soon after it had arrived.
+	ReadSoonSince policy.Time
 	// DrainedAt is when everything was read that had arrived; 0 if there may be unread input.
 	DrainedAt policy.Time
 	// MarkAt and MarkBytes are a time and the bytes of the body that had been received by then. Once more bytes have
--- a/internal/httpproxy/upload.go
+++ b/internal/httpproxy/upload.go
@@ -11,9 +11,12 @@
 // client has sent and this process has not read: the largest sizes to which Linux grows them by itself.
 const maxInTransit = 4 << 20
 
-// inTransitTime is the time in which such bytes arrive once this machine's kernel has room for them.
+// inTransitTime is the time in which such bytes arrive while this machine's kernel has room for them.
 const inTransitTime = 20 * policy.Millisecond
 
+// maxReadDelay is how long input may wait until it counts as not read soon. The kernel may have run out of room then.
+const maxReadDelay = inTransitTime / 2
+
 // A request body longer than maxBody is collected in memory if it fits, so that it can be sent again and no endpoint
 // has to wait for the client. Otherwise it is streamed to an endpoint, and an attempt that fails while the body is
 // being forwarded is the last one of the request.
@@ -42,6 +45,8 @@
 	c.Frame = newFrame(head.bodySize, head.chunked)
 	c.Upload.ReadAt = now
 	c.Upload.UnsentAt = at
+	c.Upload.ArrivedAt = at
+	c.Upload.ReadSoonSince = at
 	c.Upload.DrainedAt = 0
 	c.Upload.MarkAt = at
 	c.Upload.MarkBytes = 0
@@ -83,13 +88,20 @@
 
 // A request's time counts from its last byte, but bytes that a client has sent may lie in the buffers of both kernels
 // while reading is paused for a slow endpoint. So the client must be answered as if it had sent everything soon after
-// it was last seen not to have: when bytes arrived after everything had been read and nothing had come for a while.
+// it was last seen not to have: when bytes arrived after everything had been read and nothing had come for a while, or
+// shortly before bytes arrived that are always read soon.
 
 // bodyArrived records that bytes of a body have arrived.
 func (p *Proxy) bodyArrived(now, at policy.Time, c *connstate.Conn) {
 	u := &c.Upload
-	if u.DrainedAt > 0 && at-u.DrainedAt > inTransitTime {
-		u.UnsentAt = at
+	if u.DrainedAt > 0 {
+		u.ArrivedAt = at
+		switch {
+		case at-u.DrainedAt > inTransitTime:
+			u.UnsentAt = at
+		case at-u.ReadSoonSince > inTransitTime:
+			u.UnsentAt = max(u.UnsentAt, at-inTransitTime)
+		}
 	}
 	u.DrainedAt = 0
 	p.expectBody(now, c)
@@ -109,6 +121,9 @@
 	}
 	if !c.Input.Readable && u.DrainedAt == 0 {
 		u.DrainedAt = now
+		if now-u.ArrivedAt > maxReadDelay {
+			u.ReadSoonSince = now
+		}
 	}
 	p.expectBody(now, c)
 }
--- a/internal/httpproxy/upload_test.go
+++ b/internal/httpproxy/upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -351,7 +352,10 @@
 		readPause, dialFor, writePause time.Duration
 		chunked                        bool
 		status                         int
+		part                           int // bytes that the client writes at once; 0: many
 	}{
+		"steady client":                  {writePause: 5 * time.Millisecond, part: 4 << 10, status: 200},
+		"steady client, chunked":         {writePause: 5 * time.Millisecond, part: 4 << 10, chunked: true, status: 200},
 		"slow endpoint":                  {readPause: 100 * time.Millisecond, status: 503},
 		"slow endpoint, chunked":         {readPause: 100 * time.Millisecond, chunked: true, status: 503},
 		"late connection":                {dialFor: 400 * time.Millisecond, status: 200},
@@ -398,7 +402,7 @@
 			began = time.Now()
 			go func() {
 				fmt.Fprintf(c, "POST /step/x HTTP/1.1\r\nHost: o\r\nX-Request-ID: a\r\nX-Timeout: 1\r\n%s", framing)
-				part := strings.Repeat("b", 50<<10)
+				part := strings.Repeat("b", cmp.Or(k.part, 50<<10))
 				text := part
 				if k.chunked {
 					text = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
