--- a/internal/httpproxy/chunked.go
+++ b/internal/httpproxy/chunked.go
@@ -19,8 +19,8 @@
 }
 
 // measureChunks measures the chunked body at the start of b. ok is false if the body is malformed or longer than limit;
-// in the latter case size exceeds limit. It begins after the given chunks, and adds to them those that are complete now,
-// so that no chunk is measured twice while a body arrives in many parts.
+// in the latter case size exceeds limit. It begins after the given chunks, and adds to them those that are complete
+// now, so that no chunk is measured twice while a body arrives in many parts.
 func measureChunks(b []byte, limit int, whole *connstate.WholeChunks) (extent chunkedExtent, ok bool) {
 	length, size := whole.Length, whole.Size
 	for {
