Messages take the memory of their bytes, and the heap keeps within the limit

- A request over 4 KiB took a buffer of 96 KiB, and free buffers of up to 6 MB were kept beside those that are counted.
There are six sizes now, what is read is copied into the smallest that holds it, and free buffers take at most an eighth of the memory for messages.
- The limits for messages (35%) and for the heap (60%) were shares of the whole, but the program's own pages take 13 MB of any limit.
They are taken off first.
During a hot restart each process has its part of the heap.
- Each stream could have 16 KiB pending and 96 KiB read, however many there were.
It has its share of a quarter of the memory now, down to 4 KiB.
- Responses in flight were buffered without regard to the memory.
While it is full they are streamed as soon as they are longer than 4 KiB.

A full memory also had every new request rejected until the crowd had left. Now incomplete requests whose clients have sent nothing for 0.3 s go first.

TestStreamDeadline tells the length of its bodies of known size, since short ones may be streamed now; its bounds stay, two cases are new. The daemon's test of a reload takes the expected limit from the function that sets it.

--- a/internal/connstate/buffers.go
+++ b/internal/connstate/buffers.go
@@ -13,8 +13,12 @@
 	LargeBuffer = 96 << 10
 )
 
-// maxPooledBuffers is the maximum number of free buffers of each capacity that the pool keeps.
-const maxPooledBuffers = 64
+// sizeClasses are the capacities of pooled buffers, in bytes. They are close enough to each other that a buffer has at
+// most twice the bytes that its content needs.
+var sizeClasses = [...]int{SmallBuffer, 8 << 10, 16 << 10, 32 << 10, 64 << 10, LargeBuffer}
+
+// maxFreeShare is the largest part of Buffers.Limit that free buffers may take, as a divisor.
+const maxFreeShare = 8
 
 // Buffer holds bytes that were read. It has one owner at a time, which passes it on or returns it to the pool.
 type Buffer struct{ B []byte }
@@ -23,37 +27,38 @@
 type Buffers struct {
 	Limit int // bytes in use above which Full reports true
 
-	mu    sync.Mutex
-	small []*Buffer
-	large []*Buffer
-	inUse int // total capacity of the buffers in use, in bytes
+	mu        sync.Mutex
+	free      [len(sizeClasses)][]*Buffer
+	inUse     int // total capacity of the buffers in use, in bytes
+	freeBytes int // total capacity of the free buffers, in bytes
 }
 
 // Get returns an empty buffer with at least the given capacity.
 func (p *Buffers) Get(size int) *Buffer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	free, capacity := p.sizeClass(size)
+	class, capacity := sizeClass(size)
 	p.inUse += capacity
-	if free == nil || len(*free) == 0 {
+	if class < 0 || len(p.free[class]) == 0 {
 		return &Buffer{B: make([]byte, 0, capacity)}
 	}
-	last := len(*free) - 1
-	b := (*free)[last]
-	*free = (*free)[:last]
+	last := len(p.free[class]) - 1
+	b := p.free[class][last]
+	p.free[class][last] = nil
+	p.free[class] = p.free[class][:last]
+	p.freeBytes -= capacity
 	return b
 }
 
-// sizeClass returns the free list and the capacity of buffers for the given size. Sizes over LargeBuffer have no free
-// list.
-func (p *Buffers) sizeClass(size int) (free *[]*Buffer, capacity int) {
-	switch {
-	case size <= SmallBuffer:
-		return &p.small, SmallBuffer
-	case size <= LargeBuffer:
-		return &p.large, LargeBuffer
+// sizeClass returns the index and the capacity of the size class for buffers of the given size. Sizes over LargeBuffer
+// have none, which the index -1 says.
+func sizeClass(size int) (class, capacity int) {
+	for class, capacity := range sizeClasses {
+		if size <= capacity {
+			return class, capacity
+		}
 	}
-	return nil, size
+	return -1, size
 }
 
 // Put returns a buffer to the pool; its bytes must not be used any more. A nil buffer is ignored.
@@ -63,19 +68,22 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	free, capacity := p.sizeClass(cap(b.B))
+	class, capacity := sizeClass(cap(b.B))
 	p.inUse -= capacity
 	b.B = b.B[:0]
-	if free != nil && len(*free) < maxPooledBuffers {
-		*free = append(*free, b)
+	if class >= 0 && p.freeBytes+capacity <= max(p.Limit/maxFreeShare, LargeBuffer) {
+		p.free[class] = append(p.free[class], b)
+		p.freeBytes += capacity
 	}
 }
 
-// SetLimit changes the limit of the bytes in use.
+// SetLimit changes the limit of the bytes in use, and drops the free buffers.
 func (p *Buffers) SetLimit(bytes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.Limit = bytes
+	p.free = [len(sizeClasses)][]*Buffer{}
+	p.freeBytes = 0
 }
 
 // InUse returns the number of bytes in use.
@@ -92,14 +100,6 @@
 	return p.inUse > p.Limit
 }
 
-// Overcommitted reports whether the bytes in use exceed one and a half times the limit, so that no more should be read
-// from clients whose earlier bytes are still unprocessed.
-func (p *Buffers) Overcommitted() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.inUse > p.Limit*3/2
-}
-
 // Join appends the bytes of the newly read buffer b to those of an earlier buffer, and returns a buffer that holds
 // both. It puts buffers that it no longer needs back into the pool. If earlier is nil, it returns b and copies nothing.
 func (p *Buffers) Join(earlier, b *Buffer) *Buffer {
--- a/internal/daemon/adminoperations.go
+++ b/internal/daemon/adminoperations.go
@@ -16,7 +16,8 @@
 // processes of the instance.
 type adminOperations struct {
 	*httpproxy.Proxy
-	group *hotrestart.ProcessGroup // nil: there is no command server and no other process
+	group  *hotrestart.ProcessGroup // nil: there is no command server and no other process
+	memory int                      // bytes that the processes of the instance may use together
 }
 
 // start drains the endpoints that were drained before this process started, and starts to answer requests of the other
@@ -27,10 +28,16 @@
 		return err
 	}
 	o.Engine.SetDrained(o.Clock.Now(), uids)
-	o.group.Serve(o.applyDrained, o.exportState, o.ShareLimits)
+	o.group.Serve(o.applyDrained, o.exportState, o.shareLimits)
 	return nil
 }
 
+// shareLimits sets how many processes of the instance share its limits, this one included.
+func (o *adminOperations) shareLimits(processes int) {
+	limitHeap(o.memory, processes)
+	o.ShareLimits(processes)
+}
+
 // applyDrained replaces the set of drained endpoints. It returns false if the loop didn't do so within loopTimeout.
 func (o *adminOperations) applyDrained(uids []string) bool {
 	return o.RunOnLoopWithin(loopTimeout, func() { o.Engine.SetDrained(o.Clock.Now(), uids) })
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -151,7 +151,7 @@
 				t.Errorf("unexpected log output after reloading %.20q: %s", step.text, line)
 			}
 		case next := <-configs:
-			if next.Source.Name() != "discovery at "+step.discovery || next.MessageMemory != config.MessageMemory*messageMemoryPercent/100 {
+			if next.Source.Name() != "discovery at "+step.discovery || next.MessageMemory != messageMemory(config.MessageMemory) {
 				t.Errorf("reloaded source %s with %d bytes for messages; want discovery at %s",
 					next.Source.Name(), next.MessageMemory, step.discovery)
 			}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -22,10 +21,6 @@
 )
 
 const (
-	// messageMemoryPercent is the percentage of the memory limit that requests and responses may take.
-	messageMemoryPercent = 35
-	// heapMemoryShare is the fraction of the memory limit below which the garbage collector tries to keep the heap.
-	heapMemoryShare = 0.6
 	// minThreads lets one thread wait in the kernel for sockets while another works. With a single thread the loop
 	// would run only once the runtime notices the wait, up to 10 ms later.
 	minThreads = 2
@@ -51,13 +46,14 @@
 // Serve runs an instance until it receives SIGTERM or SIGINT. On SIGHUP it reads the configuration again from path. If
 // record is not empty, it writes a trace to that file.
 func Serve(config Config, path, record string, log *logrus.Logger) error {
+	memory := config.MessageMemory
 	limitResources(&config, log)
 	stop := make(chan os.Signal, 2)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 
-	s := &server{config: config, log: log, operations: &adminOperations{}}
+	s := &server{config: config, log: log, operations: &adminOperations{memory: memory}}
 	defer s.close()
 	if err := s.startTrace(record); err != nil {
 		return err
@@ -83,7 +79,7 @@
 // on descriptors; the kernel enforces the limit if clients connect faster than their connections are accepted.
 func limitResources(config *Config, log *logrus.Logger) {
 	runtime.GOMAXPROCS(max(minThreads, runtime.GOMAXPROCS(0)))
-	debug.SetMemoryLimit(int64(float64(config.MessageMemory) * heapMemoryShare))
+	limitHeap(config.MessageMemory, 1)
 	config.MessageMemory = messageMemory(config.MessageMemory)
 	limit := syscall.Rlimit{Cur: uint64(config.Descriptors), Max: uint64(config.Descriptors)}
 	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
@@ -91,9 +87,6 @@
 	}
 }
 
-// messageMemory returns how much of a memory limit messages may take, in bytes.
-func messageMemory(memory int) int { return memory * messageMemoryPercent / 100 }
-
 // close calls the closers in reverse order.
 func (s *server) close() {
 	for i := len(s.closers) - 1; i >= 0; i-- {
--- a/internal/httpproxy/admission.go
+++ b/internal/httpproxy/admission.go
@@ -47,7 +47,7 @@
 		p.buffers.Put(buf)
 		return
 	}
-	if p.buffers.Full() {
+	if !p.hasRoom(now) {
 		// Rejecting takes no memory, while admitting the request could exhaust the memory of the process. No attempt
 		// has been made, so the client may safely retry.
 		p.CountResult(incoming.class, engine.Rejected)
--- a/internal/httpproxy/answers_test.go
+++ b/internal/httpproxy/answers_test.go
@@ -263,20 +263,22 @@
 func TestStreamDeadline(t *testing.T) {
 	const ms = policy.Millisecond
 	for _, k := range []struct {
-		kind             uint8
-		received         int64
-		progressAt, want policy.Time
+		kind                uint8
+		received, remaining int64
+		progressAt, want    policy.Time
 	}{
-		{sizedBody, 1, 0, 2200 * ms},
-		{sizedBody, 1, 600 * ms, 2800 * ms},
-		{bodyUntilClose, 100, 0, 1000 * ms},
-		{bodyUntilClose, 100, 990 * ms, 1290 * ms},
-		{chunkedBody, 100, 1390 * ms, 1690 * ms}, // its size is unknown, so it may be long
-		{chunkedBody, maxBody + 1, 1390 * ms, 3590 * ms},
-		{chunkedBody, 51_200, 0, 1200 * ms}, // the next part is due after 0.8 s, at the lowest rate
-		{bodyUntilClose, 25_600, 900 * ms, 1200 * ms},
+		{sizedBody, 1, maxBody, 0, 2200 * ms},
+		{sizedBody, 1, maxBody, 600 * ms, 2800 * ms},
+		{sizedBody, 1, 100, 0, 1000 * ms}, // streamed because memory was short
+		{sizedBody, 1, 100, 990 * ms, 1290 * ms},
+		{bodyUntilClose, 100, 0, 0, 1000 * ms},
+		{bodyUntilClose, 100, 0, 990 * ms, 1290 * ms},
+		{chunkedBody, 100, 0, 1390 * ms, 1690 * ms}, // its size is unknown, so it may be long
+		{chunkedBody, maxBody + 1, 0, 1390 * ms, 3590 * ms},
+		{chunkedBody, 51_200, 0, 0, 1200 * ms}, // the next part is due after 0.8 s, at the lowest rate
+		{bodyUntilClose, 25_600, 0, 900 * ms, 1200 * ms},
 	} {
-		if got := streamDeadline(connstate.Frame{Kind: k.kind, Received: k.received}, 0, k.progressAt, 1000*ms); got != k.want {
+		if got := streamDeadline(connstate.Frame{Kind: k.kind, Received: k.received, Remaining: k.remaining}, 0, k.progressAt, 1000*ms); got != k.want {
 			t.Errorf("%+v: got %v", k, got)
 		}
 	}
--- a/internal/httpproxy/attempts.go
+++ b/internal/httpproxy/attempts.go
@@ -89,7 +89,7 @@
 		return
 	}
 	in := c.Input.Buffer.B
-	if len(in) < c.Input.Needed {
+	if len(in) < c.Input.Needed && !p.buffers.Full() {
 		return
 	}
 	response, ok := parseResponse(in, false, r.Response.NoBody, maxBody, &c.Input.Chunks)
--- a/internal/httpproxy/clients.go
+++ b/internal/httpproxy/clients.go
@@ -116,7 +116,7 @@
 	case status != 0:
 		p.refuse(now, c, refusal{status, malformedRequest, "the request cannot be read\n"})
 		return false
-	case request.length == 0 && p.buffers.Full():
+	case request.length == 0 && !p.hasRoom(now):
 		// Partly received requests must not fill the memory while they cannot be admitted.
 		p.rejectForMemory(now, c)
 		return false
--- a/internal/httpproxy/input.go
+++ b/internal/httpproxy/input.go
@@ -102,22 +102,39 @@
 			p.await(c)
 			return
 		}
-		buf := p.buffers.Get(readSize(c, reads))
-		n, err := c.Socket.Read(buf.B[:cap(buf.B)])
+		size := p.readSize(c, reads)
+		buf, err := p.readPart(c, size)
 		if err != nil {
-			p.buffers.Put(buf)
 			p.inputEnded(now, c, err)
 			return
 		}
-		buf.B = buf.B[:n]
 		p.correctArrival(now, c)
-		if n < cap(buf.B) && !c.Input.HungUp {
+		if len(buf.B) < size && !c.Input.HungUp {
 			c.Input.Readable = false // the poller reports what comes later
 		}
 		p.received(now, c, buf)
 	}
 }
 
+// readPart reads up to size bytes into a buffer that is not much larger than what there was to read.
+func (p *Proxy) readPart(c *connstate.Conn, size int) (*connstate.Buffer, error) {
+	if size > connstate.SmallBuffer {
+		n, err := c.Socket.Read(p.readBuffer[:size])
+		if err != nil {
+			return nil, err
+		}
+		return p.copyOf(p.readBuffer[:n]), nil
+	}
+	buf := p.buffers.Get(size)
+	n, err := c.Socket.Read(buf.B[:size])
+	if err != nil {
+		p.buffers.Put(buf)
+		return nil, err
+	}
+	buf.B = buf.B[:n]
+	return buf, nil
+}
+
 // correctArrival corrects the time at which the first input of a connection arrived, if that was before the poller
 // reported it: the client may have waited in the accept queue.
 func (p *Proxy) correctArrival(now policy.Time, c *connstate.Conn) {
@@ -127,17 +144,21 @@
 	}
 }
 
-// readSize returns how many bytes of a connection are read at once.
-func readSize(c *connstate.Conn, reads int) int {
+// readSize returns how many bytes of a connection are read at once. What is forwarded as it arrives may have to wait,
+// so no more of it is read than may be pending.
+func (p *Proxy) readSize(c *connstate.Conn, reads int) int {
 	missing := c.Input.Needed
 	if c.Input.Buffer != nil {
 		missing -= len(c.Input.Buffer.B)
 	}
-	long := c.Upload.State != connstate.NoUpload || c.Side == connstate.EndpointSide
-	if reads > 0 && long {
-		missing = connstate.LargeBuffer // more is likely to follow
+	most := connstate.LargeBuffer
+	if c.Upload.State == connstate.StreamingUpload || c.Request != nil && c.Request.Response.Streaming {
+		most = int(min(p.maxPending, connstate.LargeBuffer))
+	}
+	if reads > 0 && (c.Upload.State != connstate.NoUpload || c.Side == connstate.EndpointSide) {
+		missing = most // more is likely to follow
 	}
-	return min(max(missing, connstate.SmallBuffer), connstate.LargeBuffer)
+	return min(max(missing, connstate.SmallBuffer), most)
 }
 
 // inputEnded handles the reason why there is no input.
--- a/internal/httpproxy/limits_test.go
+++ b/internal/httpproxy/limits_test.go
@@ -249,7 +249,7 @@
 			for range 21 {
 				began := time.Now()
 				c := r.client()
-				c.send("/step/x", "", "")
+				c.send("step/echo", "", "")
 				c.receive()
 				took = append(took, time.Since(began))
 			}
@@ -345,6 +345,35 @@
 	return peer, conn
 }
 
+// Guards against a crowd of half-sent requests that takes many times the memory of what it sent, and that has the requests of others
+// rejected for want of memory until it has left.
+func TestHalfSentRequestsLeaveRoomForOthers(t *testing.T) {
+	const clients, sent = 300, 9000
+	r, _ := startProxy(t, func(p *Config) { p.Descriptors = 1024; p.MessageMemory = clients * sent }, newFakeEndpoint(t).Addr().String())
+	crowd := func(clients int) {
+		for range clients {
+			c := r.client()
+			t.Cleanup(func() { c.Close() })
+			fmt.Fprintf(c, "POST /step/a HTTP/1.1\r\nHost: o\r\nX-Request-ID: 1\r\nX-Timeout: 1\r\nContent-Length: 60000\r\n\r\n%s",
+				strings.Repeat("x", sent))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	crowd(clients / 2)
+	r.RunOnLoop(func() {
+		if got := r.buffers.InUse(); got > clients*sent || r.Counters.Overflowed > 0 {
+			t.Errorf("%d requests with %d bytes each take %d, and %d were rejected", clients/2, sent, got, r.Counters.Overflowed)
+		}
+	})
+	crowd(clients / 2)
+	time.Sleep(time.Duration(stalledAfter))
+	c := r.client()
+	c.send("step/echo", strings.Repeat("y", 10_000), "")
+	if answer, _ := c.receive(); answer.StatusCode != 200 {
+		t.Errorf("a whole request got %s", answer.Status)
+	}
+}
+
 // Guards against a flood that fills the memory, and against a sound request that is lost because other clients flood: while the memory is
 // full, a client with much unread input is neither read without bound nor closed unanswered; it gets 503 for the part that was read.
 func TestClientsAreAnsweredWhileMemoryIsFull(t *testing.T) {
--- a/internal/httpproxy/proxy.go
+++ b/internal/httpproxy/proxy.go
@@ -22,19 +22,21 @@
 	conns      *connstate.Conns
 	requests   *connstate.RequestIndex
 
-	classes          map[string]policy.ClassID
-	tenants          map[string]policy.TenantID
-	defaultClass     policy.ClassID    // class of requests that name none
-	ready            []*connstate.Conn // connections to look at in the next round
-	spareReady       []*connstate.Conn // the list that ready was before, for reuse
-	ended            []*connstate.Conn // closed connections whose resources are not released yet
-	shortOfMemory    []*connstate.Conn // connections with reads or writes to repeat
-	maxPending       int64             // unwritten bytes of a connection above which its sender is paused
-	scratch          []byte            // reused to assemble messages
-	startTimer       engine.Timer      // delays accepting clients at startup
-	clientLimitTimer engine.Timer      // repeats enforceClientLimit
-	repeatTimer      engine.Timer      // repeats reads and writes for which the kernel was short of memory
-	overClientLimit  bool              // too many client connections are open, and none can be closed yet
+	classes           map[string]policy.ClassID
+	tenants           map[string]policy.TenantID
+	defaultClass      policy.ClassID    // class of requests that name none
+	ready             []*connstate.Conn // connections to look at in the next round
+	spareReady        []*connstate.Conn // the list that ready was before, for reuse
+	ended             []*connstate.Conn // closed connections whose resources are not released yet
+	shortOfMemory     []*connstate.Conn // connections with reads or writes to repeat
+	maxPending        int64             // unwritten bytes of a connection above which its sender is paused
+	scratch           []byte            // reused to assemble messages
+	readBuffer        []byte            // reused to read more bytes than a small buffer holds
+	startTimer        engine.Timer      // delays accepting clients at startup
+	clientLimitTimer  engine.Timer      // repeats enforceClientLimit
+	repeatTimer       engine.Timer      // repeats reads and writes for which the kernel was short of memory
+	nextStalledSearch policy.Time       // earliest time of the next search for stalled requests
+	overClientLimit   bool              // too many client connections are open, and none can be closed yet
 
 	processes      atomic.Int64 // processes of this instance, this one included
 	limitsSharedBy int          // number of processes for which the limits are currently divided
@@ -60,6 +62,7 @@
 		tenants:        map[string]policy.TenantID{},
 		defaultClass:   policy.NoClass,
 		limitsSharedBy: 1,
+		readBuffer:     make([]byte, connstate.LargeBuffer),
 		maxPending:     maxPendingBytes,
 	}
 	p.Engine = engine.New(engine.Config{
--- a/internal/httpproxy/stream.go
+++ b/internal/httpproxy/stream.go
@@ -29,7 +29,7 @@
 
 // Bounds of the bytes that a stream may have pending, the lower one however many streams there are.
 const (
-	minPendingBytes = 16 << 10
+	minPendingBytes = connstate.SmallBuffer
 	maxPendingBytes = 128 << 10
 )
 
@@ -48,9 +48,10 @@
 // needs no further handling.
 //
 // Once a response is streamed, a failure can no longer be retried and becomes visible to the client; before that it
-// costs only an attempt. So a short response is buffered until it is complete or its attempt ends. A response of
-// unknown length is streamed when bytes arrive later than streamAfter, or when the time is up and its endpoint may
-// still be sending. If its endpoint sends nothing more, streaming would gain nothing, and the attempt fails.
+// costs only an attempt. So a short response is buffered until it is complete or its attempt ends, unless memory is
+// short. A response of unknown length is streamed when bytes arrive later than streamAfter, or when the time is up and
+// its endpoint may still be sending. If its endpoint sends nothing more, streaming would gain nothing, and the attempt
+// fails.
 func (p *Proxy) tryStream(now, at policy.Time, c *connstate.Conn, cause streamCause) bool {
 	r := c.Request
 	in := c.Input.Buffer.B
@@ -70,7 +71,8 @@
 	}
 	body := in[head.bodyStart:]
 	due := cause == timeIsUp || at-c.Input.HeadAt >= streamAfter
-	isLong := cause == tooLong || head.bodySize > maxBody || len(body) > maxBody
+	isLong := cause == tooLong || head.bodySize > maxBody || len(body) > maxBody ||
+		len(body) > connstate.SmallBuffer && p.buffers.Full()
 	if !isLong && (head.bodySize >= 0 || !due) {
 		return false
 	}
@@ -288,7 +290,7 @@
 // endpoint that writes slowly, and in large parts, has sent the next one.
 func streamDeadline(f connstate.Frame, headAt, progressAt, clientDeadline policy.Time) policy.Time {
 	pause := shortBodyPause
-	if f.Kind == sizedBody || f.Received > maxBody { // a short body of known size is never streamed
+	if f.Kind == sizedBody && f.Received+f.Remaining > maxBody || f.Received > maxBody {
 		pause = longBodyPause
 	}
 	return max(clientDeadline, progressAt+pause, nextPartBy(headAt, f.Received))
