Number the requests of parallel tests without a data race

TestLongResponseInSlowPartsIsComplete runs its cases in parallel, and all of them counted up one variable for the ids of their requests. The race detector failed the test for it. The counter is atomic now; the test is the same otherwise.

--- a/internal/httpproxy/answers_test.go
+++ b/internal/httpproxy/answers_test.go
@@ -47,13 +47,13 @@
 // ended.
 func (r *runningProxy) exchangeRaw(method, class, version string) (received []byte, took time.Duration, err error) {
 	c := r.client()
-	lastID++
+	number := nextNumber()
 	length := ""
 	if method == "POST" {
-		length = fmt.Sprintf("Idempotency-Key: k-%d\r\nContent-Length: 0\r\n", lastID)
+		length = fmt.Sprintf("Idempotency-Key: k-%d\r\nContent-Length: 0\r\n", number)
 	}
 	fmt.Fprintf(c, "%s /%s/x HTTP/%s\r\nHost: o\r\nConnection: close\r\nX-Request-ID: id-%d\r\nX-Timeout: 1.0\r\n%s\r\n",
-		method, class, version, lastID, length)
+		method, class, version, number, length)
 	began := time.Now()
 	received, err = io.ReadAll(c.in)
 	return received, time.Since(began), err
--- a/internal/httpproxy/harness_test.go
+++ b/internal/httpproxy/harness_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -305,12 +306,14 @@
 	return &testClient{c, r.t, bufio.NewReader(c)}
 }
 
-var lastID int
+var lastNumber atomic.Int64
+
+// nextNumber returns a number for the id of a request that no other request has.
+func nextNumber() int64 { return lastNumber.Add(1) }
 
 // send sends a request with this path, body and further header lines, and returns its id.
 func (c *testClient) send(path, body, headers string) string {
-	lastID++
-	id := fmt.Sprint("id-", lastID)
+	id := fmt.Sprint("id-", nextNumber())
 	class, _, _ := strings.Cut(path, "/")
 	fmt.Fprintf(c, "POST /%s?q=1 HTTP/1.1\r\nHost: o\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout: 1.0\r\n"+
 		"Idempotency-Key: k-%s\r\n%sContent-Length: %d\r\n\r\n%s", path, id, class, id, headers, len(body), body)
--- a/internal/httpproxy/stream_test.go
+++ b/internal/httpproxy/stream_test.go
@@ -288,8 +288,8 @@
 // sendLongBody sends a request with a body of n bytes, optionally in chunks.
 func (c *testClient) sendLongBody(n int64, chunked bool) {
 	body := rand.New(rand.NewSource(1))
-	lastID++
-	fmt.Fprintf(c, "POST http://o/step/x HTTP/1.1\r\nHost: o\r\nX-Request-ID: id-%d\r\nX-Timeout: 1\r\n", lastID)
+	number := nextNumber()
+	fmt.Fprintf(c, "POST http://o/step/x HTTP/1.1\r\nHost: o\r\nX-Request-ID: id-%d\r\nX-Timeout: 1\r\n", number)
 	if !chunked {
 		fmt.Fprintf(c, "Content-Length: %d\r\n\r\n", n)
 		io.CopyN(c, body, n)
@@ -388,8 +388,8 @@
 	r, _ := startProxy(t, nil, addr)
 	for n, sent := range map[int]int64{90 << 10: 80 << 10, 100 << 10: 20 << 10, 5 << 20: 2 << 20} {
 		c := r.client()
-		lastID++
-		fmt.Fprintf(c, "POST /step/x HTTP/1.1\r\nHost: o\r\nX-Request-ID: id-%d\r\nX-Timeout: 1\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", lastID, n)
+		number := nextNumber()
+		fmt.Fprintf(c, "POST /step/x HTTP/1.1\r\nHost: o\r\nX-Request-ID: id-%d\r\nX-Timeout: 1\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", number, n)
 		if line, _ := c.in.ReadString('\n'); line != "HTTP/1.1 100 Continue\r\n" {
 			t.Errorf("got %q, want 100 Continue", line)
 		}
--- a/internal/httpproxy/wholerequests_test.go
+++ b/internal/httpproxy/wholerequests_test.go
@@ -82,7 +82,7 @@
 
 // noteMessage returns a keyed request with a body of n bytes, optionally in chunks. Its client waits for 4 s.
 func noteMessage(n int, chunked bool) string {
-	lastID++
+	number := nextNumber()
 	framing := fmt.Sprintf("Content-Length: %d\r\n\r\n", n)
 	end := ""
 	if chunked {
@@ -90,5 +90,5 @@
 		end = "\r\n0\r\n\r\n"
 	}
 	return fmt.Sprintf("POST /note HTTP/1.1\r\nHost: o\r\nX-Request-ID: id-%d\r\nX-Timeout: 4.0\r\nIdempotency-Key: k-%d\r\n%s%s%s",
-		lastID, lastID, framing, strings.Repeat("x", n), end)
+		number, number, framing, strings.Repeat("x", n), end)
 }
