A request that may have run is not run again when its client sends it again

Callers that closed their connection and sent a request again with the same X-Request-ID, to the same process or to the other one of an upgrade, had it run twice: an id was only known while its request was in flight in one process.

The processes of an instance now share a table of ids in a file next to their lease (internal/requestids). The id of a keyed or non-idempotent request is claimed before its first attempt. If the file can't be allocated, the process has a table of its own and logs an error.

--- a/internal/connstate/request.go
+++ b/internal/connstate/request.go
@@ -11,6 +11,10 @@
 	*engine.Request
 	idHash uint64 // hash of the request id that the client sent; set while the request is in RequestIndex
 
+	ClaimedID  uint64 // hash of the id that was claimed in the table of request ids; set if Claimed
+	Claimed    bool
+	MayHaveRun bool // an endpoint may have run the request, or may yet
+
 	Client         *Conn       // nil once the request is answered or the client has left
 	CloseAfter     bool        // the client's connection is closed after the response
 	HTTP10         bool        // the client uses HTTP/1.0
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"syscall"
@@ -16,6 +17,7 @@
 	"pepperlead/internal/engine"
 	"pepperlead/internal/hotrestart"
 	"pepperlead/internal/httpproxy"
+	"pepperlead/internal/requestids"
 	"pepperlead/internal/trace"
 	"pepperlead/policy"
 )
@@ -141,9 +143,22 @@
 	}
 	s.onClose(group.Close)
 	s.operations.group = group
+	s.config.RequestIDs = s.openRequestIDs()
 	s.config.Successor = group.Processes() > 1
 }
 
+// openRequestIDs returns the table of request ids that the instance's processes share. If it cannot be opened, this
+// process has one of its own.
+func (s *server) openRequestIDs() *requestids.Table {
+	directory := hotrestart.Directory(s.config.Name, s.config.Listen)
+	ids, err := requestids.Open(filepath.Join(directory, requestids.FileName))
+	if err != nil {
+		s.log.WithError(err).Error("hot restart: ids of requests are not shared with other processes")
+		return nil
+	}
+	return ids
+}
+
 func (s *server) newProxy() {
 	s.config.ImportState = s.operations.importState
 	s.proxy = httpproxy.New(s.config.Config, s.log)
--- a/internal/httpproxy/admission.go
+++ b/internal/httpproxy/admission.go
@@ -28,6 +28,7 @@
 	idHash     uint64
 	timeLeft   policy.Time // how long the client waits for the response
 	hasTimeout bool
+	claimed    bool // the id is claimed in the table of request ids
 }
 
 // handleRequest admits a request or answers it without an endpoint. buf holds its bytes; at is the arrival time of the
@@ -55,6 +56,13 @@
 		p.rejectForMemory(now, c)
 		return
 	}
+	if !p.claimID(&incoming) {
+		p.CountResult(incoming.class, engine.Failed)
+		p.endUpload(c)
+		p.refuse(now, c, refusal{http.StatusConflict, idUsed, "a request with this X-Request-ID may have run\n"})
+		p.buffers.Put(buf)
+		return
+	}
 	p.admit(now, at, c, buf, &incoming)
 }
 
@@ -112,6 +120,27 @@
 	return other != nil && bytes.Equal(headerValue(other.Head, headerRequestID), incoming.id)
 }
 
+// claimID claims the id of a request that must not run twice, and reports whether no other request with this id may run
+// or have run. The client of such a request may have left and sent it again, also to another process of the instance.
+func (p *Proxy) claimID(incoming *candidate) bool {
+	if len(incoming.id) == 0 || p.config.Settings.Classes[incoming.class].Idempotency == policy.Idempotent {
+		return true
+	}
+	incoming.claimed = p.requestIDs.Claim(incoming.idHash)
+	return incoming.claimed
+}
+
+// releaseID has the id of a request that ends remembered from now on, or forgotten if the request has surely not run.
+func (p *Proxy) releaseID(r *connstate.Request) {
+	switch {
+	case !r.Claimed:
+	case r.MayHaveRun:
+		p.requestIDs.Renew(r.ClaimedID)
+	default:
+		p.requestIDs.Release(r.ClaimedID)
+	}
+}
+
 // admit passes the request to the engine.
 func (p *Proxy) admit(now, at policy.Time, c *connstate.Conn, buf *connstate.Buffer, incoming *candidate) {
 	headers := incoming.headers
@@ -133,6 +162,8 @@
 	r.Upload.Active = c.Upload.State == connstate.StreamingUpload
 	r.Upload.Size = incoming.bodySize
 	c.Request = r
+	r.Claimed = incoming.claimed
+	r.ClaimedID = incoming.idHash
 	if len(incoming.id) > 0 {
 		p.requests.Add(r, incoming.idHash)
 	}
--- a/internal/httpproxy/attempts.go
+++ b/internal/httpproxy/attempts.go
@@ -181,6 +181,12 @@
 	}
 }
 
+// isWritten reports whether all of the request was written to the endpoint of its attempt.
+func isWritten(r *connstate.Request) bool {
+	c := r.AttemptConn
+	return c != nil && c.Connected && c.Flushed() && !r.Upload.Active && !r.Delivery.Withheld
+}
+
 // CancelAttempt ends an attempt whose response is no longer needed.
 func (p *Proxy) CancelAttempt(now policy.Time, request *engine.Request) {
 	r := connstate.AsRequest(request)
@@ -195,6 +201,7 @@
 // endAttempt ends the attempt in flight.
 func (p *Proxy) endAttempt(at policy.Time, r *connstate.Request, outcome policy.Outcome, reusable bool) {
 	p.noteAttemptEnd(r, outcome)
+	r.MayHaveRun = r.MayHaveRun || outcome.MayHaveRun() && (outcome != policy.Cancelled || isWritten(r))
 	p.detachEndpoint(at, r, reusable)
 	p.AttemptEnded(at, r.Request, outcome)
 }
--- a/internal/httpproxy/diagnostics.go
+++ b/internal/httpproxy/diagnostics.go
@@ -23,6 +23,7 @@
 	missingHeader
 	ambiguousID
 	idInFlight
+	idUsed
 	requestTooSlow
 	outOfMemory
 	numRefusalReasons
@@ -31,7 +32,8 @@
 // String returns the reason as it stands in names of counters and in the log.
 func (r refusalReason) String() string {
 	return [numRefusalReasons]string{
-		"malformed", "unknown_class", "missing_header", "ambiguous_id", "id_in_flight", "too_slow", "out_of_memory",
+		"malformed", "unknown_class", "missing_header", "ambiguous_id", "id_in_flight", "id_used", "too_slow",
+		"out_of_memory",
 	}[r]
 }
 
--- a/internal/httpproxy/limits_test.go
+++ b/internal/httpproxy/limits_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"pepperlead/internal/connstate"
 	"pepperlead/internal/epoll"
+	"pepperlead/internal/requestids"
 )
 
 // With few descriptors all clients are still answered: connections that were idle for long are closed, and while too many are open each
@@ -172,6 +174,59 @@
 	}
 }
 
+// Guards against a request that runs twice because its client has left and sent it again, to the same process or to another one of the
+// instance. If it has surely not run, it may be sent again.
+func TestRequestSentAgainRunsOnce(t *testing.T) {
+	path := filepath.Join(t.TempDir(), requestids.FileName)
+	endpoint := newFakeEndpoint(t)
+	var proxies [2]*runningProxy
+	for i := range proxies {
+		proxies[i], _ = startProxy(t, func(p *Config) {
+			var err error
+			if p.RequestIDs, err = requestids.Open(path); err != nil {
+				t.Fatal(err)
+			}
+		}, endpoint.Addr().String())
+	}
+	for _, k := range []struct {
+		class, behaviour string
+		leaves           bool
+		again            int // status of the request that is sent again
+		seen             int // how often the endpoint receives it
+	}{
+		{"once", "slow", true, 409, 1},
+		{"note", "slow", true, 409, 1},
+		{"step", "slow", true, 200, 2},
+		{"once", "slow", false, 409, 1},
+		{"once", "reset", false, 409, 1},
+		{"once", "away", false, 503, 2},
+		{"step", "slow", false, 200, 2},
+	} {
+		for i, other := range proxies {
+			id := fmt.Sprintf("%s-%s-%v-%d", k.class, k.behaviour, k.leaves, i)
+			request := fmt.Sprintf("POST /%s/%s HTTP/1.1\r\nHost: o\r\nX-Request-ID: %s\r\nIdempotency-Key: k-%s\r\nX-Timeout: 1\r\n"+
+				"Content-Length: 0\r\n\r\n", k.class, k.behaviour, id, id)
+			first := proxies[0].client()
+			io.WriteString(first, request)
+			if k.leaves {
+				time.Sleep(30 * time.Millisecond)
+				first.Close()
+				time.Sleep(10 * time.Millisecond)
+			} else {
+				first.receive()
+			}
+			second := other.client()
+			io.WriteString(second, request)
+			if answer, _ := second.receive(); answer.StatusCode != k.again {
+				t.Errorf("%s, sent again to process %d: got status %d, want %d", id, i, answer.StatusCode, k.again)
+			}
+			if seen, _ := endpoint.count(id); seen < k.seen || seen > k.seen && k.again == 409 {
+				t.Errorf("%s: the endpoint has received it %d times, want %d", id, seen, k.seen)
+			}
+		}
+	}
+}
+
 // Requests are rejected while the memory for messages is full.
 func TestFullMemoryRejects(t *testing.T) {
 	r, _ := startProxy(t, func(p *Config) { p.MessageMemory = 0 }, newFakeEndpoint(t).Addr().String())
--- a/internal/httpproxy/proxy.go
+++ b/internal/httpproxy/proxy.go
@@ -8,6 +8,7 @@
 
 	"pepperlead/internal/connstate"
 	"pepperlead/internal/engine"
+	"pepperlead/internal/requestids"
 	"pepperlead/policy"
 )
 
@@ -21,6 +22,7 @@
 	buffers    *connstate.Buffers
 	conns      *connstate.Conns
 	requests   *connstate.RequestIndex
+	requestIDs *requestids.Table
 
 	classes           map[string]policy.ClassID
 	tenants           map[string]policy.TenantID
@@ -58,6 +60,7 @@
 		buffers:        &connstate.Buffers{Limit: config.MessageMemory},
 		conns:          connstate.NewConns(config.Descriptors - config.ReservedDescriptors),
 		requests:       &connstate.RequestIndex{},
+		requestIDs:     config.RequestIDs,
 		classes:        map[string]policy.ClassID{},
 		tenants:        map[string]policy.TenantID{},
 		defaultClass:   policy.NoClass,
@@ -65,6 +68,9 @@
 		readBuffer:     make([]byte, connstate.LargeBuffer),
 		maxPending:     maxPendingBytes,
 	}
+	if p.requestIDs == nil {
+		p.requestIDs = requestids.New()
+	}
 	p.Engine = engine.New(engine.Config{
 		Seed:         config.Seed,
 		Settings:     config.Settings,
@@ -248,7 +254,9 @@
 	r.Response.Buffer = nil
 }
 
-// Released releases the buffers of a request that the engine has released.
+// Released releases what a request holds that the engine has released.
 func (p *Proxy) Released(request *engine.Request) {
-	connstate.AsRequest(request).ReleaseBuffers(p.buffers)
+	r := connstate.AsRequest(request)
+	p.releaseID(r)
+	r.ReleaseBuffers(p.buffers)
 }
--- a/internal/httpproxy/stream.go
+++ b/internal/httpproxy/stream.go
@@ -108,6 +108,7 @@
 func (p *Proxy) beginStream(at policy.Time, c *connstate.Conn, head responseHead) {
 	r := c.Request
 	r.Decided = true
+	r.MayHaveRun = true
 	p.AttemptEnded(at, r.Request, outcomeOf(head.status, head.headers))
 	p.Counters.Streams++
 	p.streamCount++
