A client that has sent much and left is noticed before its requests are sent on

Callers that sent many requests on one connection and closed it had attempts begin up to 0.9 s after their close. The kernel reports a close only once all bytes before it have found room in the receive buffer, and the proxy left input there that it did not want yet.

Input of a client with a request in hand is now read ahead if more than 16 KiB of it are unread: up to 1 MiB a connection, and only while half of the memory for messages is free. The end of the connection then follows at once, and what was read ahead is dropped. The queue of unwritten bytes and the one of bytes read ahead share connstate.Queue.

--- a/internal/connstate/conn.go
+++ b/internal/connstate/conn.go
@@ -19,6 +19,13 @@
 	// Read reads into b and returns at least one byte, or why there is none: ErrNoInput, ErrShortOfMemory, io.EOF after
 	// an orderly end, or another error if the connection has ended otherwise.
 	Read(b []byte) (int, error)
+	// ReadAhead reads at most len(scratch) bytes, which it overwrites, and keeps them for Read. The errors are
+	// those of Read.
+	ReadAhead(scratch []byte) error
+	// Ahead returns how many bytes were read ahead. While there are any, Read returns them only.
+	Ahead() int
+	// Unread returns how many bytes the kernel has received and holds; 0 if it is not known.
+	Unread() int
 	// Write sends bytes. Bytes that the kernel does not accept at once are queued. After an error the connection has
 	// ended for its writer, but there may still be input.
 	Write(b []byte) error
--- a/internal/httpproxy/input.go
+++ b/internal/httpproxy/input.go
@@ -76,6 +76,7 @@
 	}
 	p.readInput(now, c)
 	if c.Side == connstate.ClientSide {
+		p.lookAhead(now, c)
 		p.restIfVacant(now, c)
 	}
 }
@@ -103,13 +104,14 @@
 			return
 		}
 		size := p.readSize(c, reads)
+		ahead := c.Socket.Ahead()
 		buf, err := p.readPart(c, size)
 		if err != nil {
 			p.inputEnded(now, c, err)
 			return
 		}
 		p.correctArrival(now, c)
-		if len(buf.B) < size && !c.Input.HungUp {
+		if ahead == 0 && len(buf.B) < size && !c.Input.HungUp {
 			c.Input.Readable = false // the poller reports what comes later
 		}
 		p.received(now, c, buf)
--- a/internal/httpproxy/proxy_test.go
+++ b/internal/httpproxy/proxy_test.go
@@ -242,14 +242,17 @@
 	k.conn.Output.Written += int64(len(b))
 	return nil
 }
-func (k *recordingSocket) Flush() error          { return nil }
-func (k *recordingSocket) Close()                {}
-func (k *recordingSocket) DiscardInput()         {}
-func (k *recordingSocket) Reset()                {}
-func (k *recordingSocket) Unacknowledged() int   { return 0 }
-func (k *recordingSocket) PeerWindow() int       { return 0 }
-func (k *recordingSocket) InputAge() policy.Time { return 0 }
-func (k *recordingSocket) Idle() bool            { return !k.hasInput && len(k.input) == 0 }
+func (k *recordingSocket) Flush() error           { return nil }
+func (k *recordingSocket) Close()                 {}
+func (k *recordingSocket) DiscardInput()          {}
+func (k *recordingSocket) Reset()                 {}
+func (k *recordingSocket) ReadAhead([]byte) error { return connstate.ErrNoInput }
+func (k *recordingSocket) Ahead() int             { return 0 }
+func (k *recordingSocket) Unread() int            { return 0 }
+func (k *recordingSocket) Unacknowledged() int    { return 0 }
+func (k *recordingSocket) PeerWindow() int        { return 0 }
+func (k *recordingSocket) InputAge() policy.Time  { return 0 }
+func (k *recordingSocket) Idle() bool             { return !k.hasInput && len(k.input) == 0 }
 
 // newStoppedProxy returns an instance that has one endpoint and does not run, and a function that adds a connection without a real
 // socket.
--- a/internal/httpproxy/races_test.go
+++ b/internal/httpproxy/races_test.go
@@ -394,6 +394,40 @@
 	}
 }
 
+// Guards against a retry for a client that has left, if it sent more requests before than the receive buffer holds.
+func TestNoAttemptAfterClientOfManyRequestsDisconnects(t *testing.T) {
+	for name, k := range map[string]struct{ requests, size int }{
+		"300 requests of 3 kB":   {300, 3000},
+		"2000 requests of 200 B": {2000, 0},
+		"20 requests of 40 kB":   {20, 40_000},
+		"7 requests of 100 kB":   {7, 100_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var seen atomic.Int64
+			fail := func(net.Conn, *http.Request, int) bool {
+				seen.Add(1)
+				time.Sleep(200 * time.Millisecond)
+				return false
+			}
+			one, _ := scriptedEndpoint(t, fail)
+			two, _ := scriptedEndpoint(t, fail)
+			r, _ := startProxy(t, nil, one, two)
+			c := r.client()
+			go func() {
+				defer c.Close()
+				for range k.requests {
+					c.send("step/x", strings.Repeat("x", k.size), "")
+				}
+			}()
+			time.Sleep(500 * time.Millisecond)
+			if n := seen.Load(); n > 1 {
+				t.Errorf("endpoint received %d attempts, want no retry", n)
+			}
+			r.waitUntil("no request in flight", func() bool { return r.InFlight == 0 })
+		})
+	}
+}
+
 // TCP_NODELAY is set on both sides, as bytes that the kernel delays would be lost with a reset.
 func TestNoDelayIsSet(t *testing.T) {
 	r, _ := startProxy(t, nil, newFakeEndpoint(t).Addr().String())
--- a/internal/httpproxy/socket.go
+++ b/internal/httpproxy/socket.go
@@ -23,11 +23,11 @@
 	conn         *connstate.Conn
 	descriptor   int // closedDescriptor once it is closed
 	buffers      *connstate.Buffers
-	queue        []*connstate.Buffer // bytes that the kernel has not accepted yet
-	queueOffset  int                 // bytes of the first buffer that the kernel has accepted
-	failed       bool                // a read or a write has failed: the connection has ended
-	discarding   bool                // input is read and discarded
-	discardLimit int                 // bytes that may still be discarded
+	unwritten    connstate.Queue // bytes that the kernel has not accepted yet
+	ahead        connstate.Queue // bytes that were read ahead
+	failed       bool            // a read or a write has failed: the connection has ended
+	discarding   bool            // input is read and discarded
+	discardLimit int             // bytes that may still be discarded
 
 	watched watched
 }
@@ -39,6 +39,42 @@
 
 // Read implements connstate.Socket.
 func (s *socket) Read(b []byte) (int, error) {
+	if s.ahead.Len() == 0 {
+		return s.readNow(b)
+	}
+	n := 0
+	for n < len(b) && s.ahead.Len() > 0 {
+		copied := copy(b[n:], s.ahead.First())
+		s.ahead.Consume(s.buffers, copied)
+		n += copied
+	}
+	return n, nil
+}
+
+// ReadAhead implements connstate.Socket.
+func (s *socket) ReadAhead(scratch []byte) error {
+	n, err := s.readNow(scratch)
+	s.ahead.Append(s.buffers, scratch[:n])
+	return err
+}
+
+// Ahead implements connstate.Socket.
+func (s *socket) Ahead() int { return s.ahead.Len() }
+
+// Unread implements connstate.Socket.
+func (s *socket) Unread() int {
+	if s.descriptor == closedDescriptor {
+		return 0
+	}
+	bytes, err := unix.IoctlGetInt(s.descriptor, unix.SIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return bytes
+}
+
+// readNow reads from the kernel.
+func (s *socket) readNow(b []byte) (int, error) {
 	for {
 		if s.descriptor == closedDescriptor {
 			return 0, net.ErrClosed
@@ -80,13 +116,13 @@
 
 // Write implements connstate.Socket.
 func (s *socket) Write(b []byte) error {
-	if len(s.queue) > 0 {
-		s.enqueue(b)
+	if s.unwritten.Len() > 0 {
+		s.unwritten.Append(s.buffers, b)
 		return nil
 	}
 	n, err := s.writeNow(b)
 	if err == nil || errors.Is(err, connstate.ErrShortOfMemory) {
-		s.enqueue(b[n:])
+		s.unwritten.Append(s.buffers, b[n:])
 	}
 	return err
 }
@@ -114,34 +150,15 @@
 	return written, nil
 }
 
-// enqueue keeps bytes for the next Flush.
-func (s *socket) enqueue(b []byte) {
-	for len(b) > 0 {
-		if last := len(s.queue) - 1; last >= 0 {
-			tail := s.queue[last]
-			n := min(len(b), cap(tail.B)-len(tail.B))
-			tail.B = append(tail.B, b[:n]...)
-			b = b[n:]
-		}
-		if len(b) > 0 {
-			s.queue = append(s.queue, s.buffers.Get(min(len(b), connstate.LargeBuffer)))
-		}
-	}
-}
-
 // Flush implements connstate.Socket.
 func (s *socket) Flush() error {
-	for len(s.queue) > 0 {
-		first := s.queue[0]
-		n, err := s.writeNow(first.B[s.queueOffset:])
-		s.queueOffset += n
-		if err != nil || s.queueOffset < len(first.B) {
+	for s.unwritten.Len() > 0 {
+		first := s.unwritten.First()
+		n, err := s.writeNow(first)
+		s.unwritten.Consume(s.buffers, n)
+		if err != nil || n < len(first) {
 			return err
 		}
-		s.buffers.Put(first)
-		s.queue[0] = nil
-		s.queue = s.queue[1:]
-		s.queueOffset = 0
 	}
 	return nil
 }
@@ -175,16 +192,13 @@
 	}
 	_ = unix.Close(s.descriptor) // on Linux the descriptor is released whatever close returns
 	s.descriptor = closedDescriptor
-	for _, b := range s.queue {
-		s.buffers.Put(b)
-	}
-	s.queue = nil
-	s.queueOffset = 0
+	s.unwritten.Clear(s.buffers)
+	s.ahead.Clear(s.buffers)
 }
 
 // Idle implements connstate.Socket.
 func (s *socket) Idle() bool {
-	if s.descriptor == closedDescriptor || s.failed || len(s.queue) > 0 {
+	if s.descriptor == closedDescriptor || s.failed || s.unwritten.Len() > 0 || s.ahead.Len() > 0 {
 		return false
 	}
 	var one [1]byte
@@ -201,7 +215,8 @@
 // response.
 func (s *socket) DiscardInput() {
 	s.discarding = true
-	s.discardLimit = maxDiscarded
+	s.discardLimit = maxDiscarded - s.ahead.Len()
+	s.ahead.Clear(s.buffers)
 }
 
 // Unacknowledged implements connstate.Socket.
