Soak: a server delayed beyond its promise sends no second copy of a response

The judge now names the request to which such a response belongs. The trace: an endpoint that was to write a response once more within 15 ms came to it only after 20 ms or more, for want of a processor, and by then the connection carried the next request. No proxy can recognize that. The server closes the connection instead if its process was delayed.

--- a/internal/soak/behaviour.go
+++ b/internal/soak/behaviour.go
@@ -15,6 +15,10 @@
 	closeFraming   framing = "close"   // the connection ends with the body
 )
 
+// maxCopyDelay is how long after a response a server may begin to write it once more. A response doesn't identify its
+// request, so a copy on a connection that carries the next request already cannot be recognized.
+const maxCopyDelay = 15 * time.Millisecond
+
 // ending is how an exchange ends at the server.
 type ending string
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -318,8 +318,8 @@
 	default:
 		r.result = servedResult
 		if !bytes.Equal(a.body, responseBody(r.id, r.wants.Size)) {
-			c.run.judge.violateLocked(RuleForeign, r.answeredAt, "%d bytes that no server made: %s",
-				len(a.body), c.run.judge.describe(r))
+			c.run.judge.violateLocked(RuleForeign, r.answeredAt, "%d bytes that no server made: %s\n  %s",
+				len(a.body), c.run.judge.describe(r), c.run.judge.describeResponse(a.body))
 		}
 	}
 	if a.complete && timely.After(r.due()) && !r.sentAt.IsZero() {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"sort"
 	"sync"
@@ -251,6 +252,16 @@
 	j.violateLocked(RuleDuplicate, repeat.ranAt, "ran again: %s", j.describe(r))
 }
 
+// describeResponse returns what is known of the request to which a server made this response.
+func (j *Judge) describeResponse(body []byte) string {
+	id, _, _ := bytes.Cut(body, []byte{'\n'})
+	r := j.requests[string(id)]
+	if r == nil {
+		return fmt.Sprintf("they begin with %.40q", body)
+	}
+	return "they are those for " + j.describe(r)
+}
+
 // describe returns what is known of a request.
 func (j *Judge) describe(r *request) string {
 	text := fmt.Sprintf("%s %s (%s %s) at %s wait %v body %d wants %s/%s size %d",
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -233,7 +233,7 @@
 			r.wants.Framing = sizedFraming // without a length, what follows would belong to the body
 		}
 		r.wants.FirstOnly = r.wants.Ending != overloadedEnding && random.IntN(2) == 0
-		r.wants.CopyAfter = time.Duration(random.IntN(15)) * time.Millisecond
+		r.wants.CopyAfter = time.Duration(random.IntN(int(maxCopyDelay/time.Millisecond))) * time.Millisecond
 	}
 }
 
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -301,12 +301,19 @@
 	case surplusEnding:
 		e.write("\x00noise behind the response\r\n")
 	case copyEnding:
-		time.Sleep(e.wants.CopyAfter)
-		e.write(e.head(len(body)) + string(body))
+		return e.writeCopy(e.head(len(body)) + string(body))
 	}
 	return e.wants.Framing != closeFraming
 }
 
+// writeCopy writes a response once more. If this process was delayed, it closes the connection instead: a copy that
+// comes later than maxCopyDelay cannot be told from the next response.
+func (e *exchange) writeCopy(response string) bool {
+	began := time.Now()
+	time.Sleep(e.wants.CopyAfter)
+	return time.Since(began) <= maxCopyDelay && e.write(response)
+}
+
 // head returns the head of a response with a body of the given size.
 func (e *exchange) head(size int) string {
 	head := "HTTP/1.1 200 OK\r\nX-Server: " + e.server.uid + "\r\n"
