Without a directory for its processes, an instance logs one error only

The table of request ids logged a second one; TestServesWithoutAProcessGroupDirectory failed for it. Without a directory there is no other process to share it with.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -140,10 +140,11 @@
 	if err != nil {
 		s.log.WithError(err).Error("hot restart disabled")
 		group = hotrestart.Standalone(err, s.log)
+	} else {
+		s.config.RequestIDs = s.openRequestIDs()
 	}
 	s.onClose(group.Close)
 	s.operations.group = group
-	s.config.RequestIDs = s.openRequestIDs()
 	s.config.Successor = group.Processes() > 1
 }
 
