An endpoint is not taken for another one that came up at its address

Callers had a keyed request run twice when a server had gone and another one, of another zone or cell, came up at its address: for as long as the list still had the old one, repeats went to the new one in the belief that it belongs to the old one's deduplication group. Once the list named both, both were in use.

Of two listed endpoints with one address the one that started later has it now (or, with equal starts, the one that was listed later); the other one counts as removed. Until the list tells, an endpoint that has closed all connections or can't be connected to may have been replaced: for 2 s (6 s if the list is polled) no keyed request of a zone's or cell's group is repeated there, and an attempt that was sent there meanwhile doesn't tell in which group the request ran. The same goes for an endpoint that was replaced by one of another group while the request was in flight.

Both new tests fail without the change.

--- a/internal/engine/endpointlist.go
+++ b/internal/engine/endpointlist.go
@@ -40,6 +40,7 @@
 	failures  int                // consecutive failures of the source
 	rejection string             // why the latest list was rejected; "" if it was not
 
+	holders addressHolders
 	drained map[string]drainState // administrative states, by uid
 	seen    seenIDs
 
@@ -52,6 +53,7 @@
 	return endpointList{
 		engine:  e,
 		events:  make(chan sourceEvent, maxPendingEvents),
+		holders: addressHolders{},
 		drained: map[string]drainState{},
 		seen:    newSeenIDs(),
 	}
@@ -164,14 +166,21 @@
 	e.Counters.Lists++
 	e.Counters.ListEntries += len(list.Entries)
 	members := make([]policy.Member, 0, len(list.Entries))
+	if list.Kind != policy.ListChanges {
+		l.holders.retain(list)
+	}
 	for _, listed := range list.Entries {
-		entry := l.effectiveEntry(listed)
+		claimed, loser := l.claimAddress(listed)
+		entry := l.effectiveEntry(claimed)
 		if !e.updateEndpoint(entry) {
 			continue
 		}
 		e.Endpoints[entry.ID].Entry = listed
 		members = append(members, entry.Member)
 		e.recordListed(now, entry)
+		if loser != nil {
+			members = l.replace(loser, entry.ID, members)
+		}
 	}
 	if list.Kind == policy.ListFull {
 		e.retireMissing(members)
--- a/internal/engine/endpointlist_test.go
+++ b/internal/engine/endpointlist_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -103,3 +105,53 @@
 		}
 	}
 }
+
+// Guards against an endpoint that is taken for another one at its address: of two endpoints with one address, the one that started later
+// has it, whatever the list still says of the other.
+func TestAddressBelongsToTheLatestEndpoint(t *testing.T) {
+	entry := func(uid, address string, started policy.Time, status policy.EndpointStatus) discovery.Entry {
+		id := endpointfiles.EndpointID(uid)
+		return discovery.Entry{UID: uid, Addr: address, Member: policy.Member{ID: id, Weight: 1, Started: started, Status: status}}
+	}
+	old, young := entry("s-old", "a:1", 5, policy.Ready), entry("s-young", "a:1", 9, policy.Ready)
+	unknown, later := entry("s-old", "a:1", 0, policy.Ready), entry("s-young", "a:1", 0, policy.Ready)
+	gone := entry("s-young", "a:1", 9, policy.Removed)
+	full := func(entries ...discovery.Entry) *discovery.List {
+		return &discovery.List{Kind: policy.ListFull, Entries: entries}
+	}
+	changes := func(entries ...discovery.Entry) *discovery.List { return &discovery.List{Entries: entries} }
+	for name, k := range map[string]struct {
+		lists []*discovery.List
+		ready string // uids of the endpoints that get requests
+	}{
+		"old one listed first":           {[]*discovery.List{full(old, young)}, "s-young"},
+		"old one listed second":          {[]*discovery.List{full(young, old)}, "s-young"},
+		"both, twice":                    {[]*discovery.List{full(young, old), full(old, young)}, "s-young"},
+		"change":                         {[]*discovery.List{full(old), changes(young)}, "s-young"},
+		"starts unknown":                 {[]*discovery.List{full(unknown), changes(later)}, "s-young"},
+		"starts unknown, both again":     {[]*discovery.List{full(unknown), changes(later), full(later, unknown), full(unknown, later)}, "s-young"},
+		"late news of the old one":       {[]*discovery.List{full(old), changes(young), changes(old)}, "s-young"},
+		"the old one had gone":           {[]*discovery.List{full(old), full(young)}, "s-young"},
+		"listed again without the other": {[]*discovery.List{full(old), changes(young), changes(gone), full(old)}, "s-old"},
+		"the young one moves on":         {[]*discovery.List{full(young), changes(entry("s-young", "a:2", 9, policy.Ready)), changes(old)}, "s-old s-young"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			logger := logrus.New()
+			logger.SetOutput(io.Discard)
+			e := New(Config{Settings: &policy.Settings{Instances: 1}}, logger)
+			for _, list := range k.lists {
+				e.ApplyList(1, list)
+			}
+			var ready []string
+			for _, endpoint := range e.Endpoints {
+				if endpoint.Listed && !endpoint.Draining {
+					ready = append(ready, endpoint.UID)
+				}
+			}
+			slices.Sort(ready)
+			if got := strings.Join(ready, " "); got != k.ready {
+				t.Errorf("ready: %s, want %s", got, k.ready)
+			}
+		})
+	}
+}
--- a/internal/httpproxy/endpointconns.go
+++ b/internal/httpproxy/endpointconns.go
@@ -190,3 +190,13 @@
 
 // Forget has nothing to do when an endpoint is removed: connections still in use are closed when they become idle.
 func (p *Proxy) Forget(*engine.Endpoint) {}
+
+// reportConnectionsLost tells the module if an endpoint has closed all connections to it.
+func (p *Proxy) reportConnectionsLost(now policy.Time, endpoint *connstate.Endpoint) {
+	for c := range p.conns.Open {
+		if c.Endpoint == endpoint && c.Connected && !c.Closing {
+			return
+		}
+	}
+	p.Module.ConnectionsLost(now, endpoint.Endpoint.ID)
+}
--- a/internal/httpproxy/proxy.go
+++ b/internal/httpproxy/proxy.go
@@ -233,6 +233,7 @@
 	case connstate.EndpointSide:
 		if c.ClosedFor == connstate.PeerClosed {
 			p.endpointClosed(at, c)
+			p.reportConnectionsLost(at, c.Endpoint)
 		}
 	}
 	p.Timers.Stop(&c.Timer)
--- a/policy/dedupwindow_test.go
+++ b/policy/dedupwindow_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // Guards against a second effect: a repeat must have arrived completely before the window of its class ends, counted from the send of
 // the first attempt that may have run, under the settings in force at that moment.
@@ -66,3 +69,70 @@
 		}
 	}
 }
+
+// Guards against a second effect if another endpoint has come up at the address of one that has gone: which group has seen the request
+// is not certain then.
+func TestNoRepeatWhereAnotherEndpointMayHaveComeUp(t *testing.T) {
+	const sentAt = 10 * Second
+	one, two, other := EndpointID(1), EndpointID(2), EndpointID(3)
+	for name, k := range map[string]struct {
+		group      Group
+		idempotent bool
+		refused    []EndpointID // endpoints that refuse connections before the request is sent
+		replaced   EndpointID   // the first endpoint is replaced by it while the request is in flight
+		after      Time         // time from the refusals to the request
+		repeats    bool
+	}{
+		"nothing happened":               {group: GroupCell, repeats: true},
+		"it was refused before":          {group: GroupCell, refused: []EndpointID{one}},
+		"long before":                    {group: GroupCell, refused: []EndpointID{one}, after: 3 * Second, repeats: true},
+		"it was refused, all endpoints":  {group: GroupAll, refused: []EndpointID{one}, repeats: true},
+		"it was refused, idempotent":     {group: GroupCell, idempotent: true, refused: []EndpointID{one}, repeats: true},
+		"the second one was refused":     {group: GroupCell, refused: []EndpointID{two}},
+		"replaced from another cell":     {group: GroupCell, replaced: other},
+		"replaced from the same cell":    {group: GroupCell, replaced: two, repeats: true},
+		"replaced from the same zone":    {group: GroupZone, replaced: other, repeats: true},
+		"replaced, idempotent":           {group: GroupCell, idempotent: true, replaced: other, repeats: true},
+		"replaced, all endpoints":        {group: GroupAll, replaced: other, repeats: true},
+		"replaced by an unknown one":     {group: GroupCell, replaced: 9},
+		"replaced by unknown, all":       {group: GroupAll, replaced: 9, repeats: true},
+		"the second of another was seen": {group: GroupZone, refused: []EndpointID{other}, repeats: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := testSettings()
+			class := &settings.Classes[0]
+			class.Group, class.Window, class.Idempotency = k.group, 5*Second, Keyed
+			if k.idempotent {
+				class.Idempotency = Idempotent
+			}
+			front := &recordingFront{}
+			b := New(front, settings, 1, Second)
+			members := testMembers(3, "a")
+			members[2].Cell = 7
+			b.UpdateEndpoints(Second, ListFull, members)
+			for _, id := range k.refused {
+				b.ConnectionsLost(sentAt-k.after, id)
+			}
+			r, handle := b.inFlightOn(front, sentAt, one)
+			if k.replaced != 0 {
+				gone := members[0]
+				gone.Status, gone.ReplacedBy = Removed, k.replaced
+				b.UpdateEndpoints(sentAt+Second/4, ListChanges, []Member{gone})
+			}
+			b.AttemptEnded(sentAt+Second/2, handle, 0, one, ConnectionLost, Second/2, false)
+			if got := b.mayRepeatOn(sentAt+Second/2, r, &b.table.endpoints[b.table.indexes[two]]); got != k.repeats {
+				t.Errorf("may be repeated: %v, want %v", got, k.repeats)
+			}
+		})
+	}
+}
+
+// inFlightOn admits a request whose first attempt is sent to an endpoint.
+func (b *Balancer) inFlightOn(front *recordingFront, now Time, id EndpointID) (*request, Handle) {
+	for n := 0; ; n++ {
+		handle := front.admit(b, now, fmt.Sprint("k", n), false, 20*Second)
+		if front.sentTo[len(front.sentTo)-1] == id {
+			return b.requests.lookup(handle), handle
+		}
+	}
+}
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -91,6 +91,9 @@
 	e.inFlight--
 	e.lastUsedAt = now
 	b.concurrency.inFlight--
+	if outcome == NotConnected {
+		b.doubt(now, e)
+	}
 	if outcome < Cancelled { // Cancelled, NotSent and Declined say nothing about the endpoint
 		b.recordOutcome(now, r, e, outcome, elapsed)
 	}
@@ -114,6 +117,9 @@
 		r.mayHaveRun = true
 		r.ranAt = r.sentAt
 		r.ranOn = result.endpoint
+		if b.table.endpoints[result.endpoint].inDoubt(r.sentAt) {
+			r.ranOn = noEndpoint
+		}
 	}
 	b.retry(r, result)
 }
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -46,6 +46,9 @@
 	ejectionTime Time   // length of the latest ejection before jitter; 0: no ejection since a success or start
 	slowStart    int    // attempts allowed in flight during slow start; 0: not in slow start
 
+	doubtedAt    Time // since when its process may have been replaced by that of another endpoint
+	doubtedUntil Time // end of that time
+
 	successes       rateMeter // rate of successful attempts
 	coldBudget      float64   // attempts that may be sent to it now while it is cold
 	budgetUpdatedAt Time      // when coldBudget last grew or was reset
@@ -75,6 +78,7 @@
 	e.slowStart = 0
 	e.ejectedUntil = 0
 	e.ejectionTime = 0
+	e.doubtedUntil = 0
 	e.coldBudget = coldBudget
 	e.budgetUpdatedAt = now
 	e.successes = rateMeter{}
--- a/policy/types.go
+++ b/policy/types.go
@@ -117,4 +117,6 @@
 	Zone    Zone
 	Status  EndpointStatus
 	Started Time // start of the endpoint's process; 0: long ago
+
+	ReplacedBy EndpointID // with Removed: the endpoint that has come up at its address; 0: none
 }
