Starts of endpoints and ejections don't move when the system clock is set

Lists give the start of an endpoint by the system clock; the engine compared it with its own clock, which keeps to the system time at its start. After a step of the system clock by an hour, an endpoint that started since counted as warm at once, without a slow start, or stayed in slow start for an hour.

It isn't known whether the clock was set before or after the start; the later of the possible times counts. An entry with the same start keeps its result. The state that a process hands over tells its clock's base, so that the end of an ejection is the same moment for a successor that started after a step.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -17,6 +17,10 @@
 // New returns a clock that starts at the system time.
 func New() Clock { return Clock{time.Now()} }
 
+// Step returns by how much the system clock has been set ahead since the start of the clock, in nanoseconds. It is
+// negative if it has been set back.
+func (c Clock) Step() policy.Time { return policy.Time(time.Now().UnixNano()) - c.Now() }
+
 // Now returns the time in nanoseconds since the Unix epoch.
 func (c Clock) Now() policy.Time {
 	return policy.Time(c.start.UnixNano() + int64(time.Since(c.start)))
--- a/internal/daemon/adminoperations.go
+++ b/internal/daemon/adminoperations.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 
+	"pepperlead/internal/clock"
 	"pepperlead/internal/engine"
 	"pepperlead/internal/hotrestart"
 	"pepperlead/internal/httpproxy"
@@ -62,8 +63,14 @@
 	// Seen are the ids of all endpoints that any list has named. The successor needs them to accept a command to drain
 	// an endpoint that is no longer listed.
 	Seen []policy.EndpointID `json:"Seen"`
+	// ClockBase is the time of the engine's clock when the machine was booted. The successor's differs if the system
+	// clock has been set in between. 0: unknown.
+	ClockBase policy.Time `json:"ClockBase"`
 }
 
+// clockBase returns the time of the engine's clock when the machine was booted.
+func (o *adminOperations) clockBase() policy.Time { return o.Clock.Now() - clock.BootTime() }
+
 // exportState returns the encoded learned state, or nil if it can't be encoded or the loop doesn't export it within
 // loopTimeout.
 func (o *adminOperations) exportState() []byte {
@@ -71,6 +78,7 @@
 	export := func() {
 		state.LearnedState = o.Module.ExportState(o.Clock.Now())
 		state.Seen = o.SeenEndpoints()
+		state.ClockBase = o.clockBase()
 	}
 	if !o.RunOnLoopWithin(loopTimeout, export) {
 		return nil
@@ -94,6 +102,9 @@
 		}
 		o.RunOnLoopWithin(loopTimeout, func() {
 			o.ImportSeen(state.Seen)
+			if state.ClockBase != 0 {
+				state.ShiftTimes(o.clockBase() - state.ClockBase)
+			}
 			o.Module.ImportState(o.Clock.Now(), state.LearnedState)
 		})
 		o.Logger.WithField("endpoints", len(state.Endpoints)).
--- a/internal/daemon/golden_test.go
+++ b/internal/daemon/golden_test.go
@@ -23,7 +23,8 @@
 			Endpoints: []policy.LearnedEndpoint{{ID: 21, Started: 22, Weight: 23.5, Limit: 24.5, LatencyRatio: 25.5, SuccessRate: 26.5, Failures: 27, SlowStart: 28,
 				EjectedUntil: 29, EjectionTime: 30, ColdBudget: 31.5}},
 		},
-		Seen: []policy.EndpointID{32, 33},
+		Seen:      []policy.EndpointID{32, 33},
+		ClockBase: 34,
 	}
 }
 
--- a/internal/engine/endpoint.go
+++ b/internal/engine/endpoint.go
@@ -9,16 +9,17 @@
 
 // Endpoint is an endpoint as described by the endpoint lists.
 type Endpoint struct {
-	ID         policy.EndpointID
-	UID        string
-	Addr       string
-	Zone       policy.Zone
-	Started    policy.Time
-	Draining   bool
-	Generation int             // increases when the endpoint drains, leaves, restarts or moves: old connections close
-	Listed     bool            // the endpoint is in the latest list
-	Entry      discovery.Entry // the endpoint's entry in the latest list
-	FrontData  [MaxFronts]any  // data of the fronts, by the index that AddFront returned
+	ID          policy.EndpointID
+	UID         string
+	Addr        string
+	Zone        policy.Zone
+	Started     policy.Time
+	Draining    bool
+	Generation  int             // increases when the endpoint drains, leaves, restarts or moves: old connections close
+	Listed      bool            // the endpoint is in the latest list
+	Entry       discovery.Entry // the endpoint's entry in the latest list
+	listedStart policy.Time     // the endpoint's start in the latest list, by the system clock
+	FrontData   [MaxFronts]any  // data of the fronts, by the index that AddFront returned
 }
 
 // retire closes the endpoint's idle connections. Connections that are in use are closed after their request.
--- a/internal/engine/endpointlist.go
+++ b/internal/engine/endpointlist.go
@@ -169,13 +169,15 @@
 	if list.Kind != policy.ListChanges {
 		l.holders.retain(list)
 	}
-	for _, listed := range list.Entries {
+	for _, reported := range list.Entries {
+		listed := e.withStartTime(now, reported)
 		claimed, loser := l.claimAddress(listed)
 		entry := l.effectiveEntry(claimed)
 		if !e.updateEndpoint(entry) {
 			continue
 		}
 		e.Endpoints[entry.ID].Entry = listed
+		e.Endpoints[entry.ID].listedStart = reported.Started
 		members = append(members, entry.Member)
 		e.recordListed(now, entry)
 		if loser != nil {
--- a/internal/engine/endpointlist_test.go
+++ b/internal/engine/endpointlist_test.go
@@ -155,3 +155,38 @@
 		})
 	}
 }
+
+// Guards against an endpoint that counts as started an hour too early or too late because the system clock was set: its slow start would
+// be left out, or last for an hour.
+func TestStartsAreThoseOfTheEnginesClockWhenTheSystemClockIsSet(t *testing.T) {
+	const hour, now = 3600 * policy.Second, 1_000_000 * policy.Second
+	for name, k := range map[string]struct{ listed, step, want policy.Time }{
+		"not set":                         {listed: now - policy.Second, want: now - policy.Second},
+		"slowed down":                     {listed: now - policy.Second, step: policy.Millisecond, want: now - policy.Second},
+		"long ago":                        {step: hour},
+		"set ahead, started before":       {listed: now - 2*policy.Second, step: hour, want: now - 2*policy.Second},
+		"set ahead, started since":        {listed: now + hour - policy.Second, step: hour, want: now - policy.Second},
+		"set back, started before":        {listed: now - 2*policy.Second, step: -hour, want: now - 2*policy.Second},
+		"set back, started since":         {listed: now - hour - policy.Second, step: -hour, want: now - policy.Second},
+		"set ahead, started, and back":    {listed: now + hour - policy.Second, want: now},
+		"set back, started, and ahead":    {listed: now - hour - policy.Second, want: now - hour - policy.Second},
+		"set ahead, clock of server late": {listed: now + policy.Second, step: hour, want: now + policy.Second},
+	} {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		e := New(Config{Settings: &policy.Settings{Instances: 1}}, logger)
+		e.clockStep = func() policy.Time { return k.step }
+		list := &discovery.List{Kind: policy.ListFull, Entries: []discovery.Entry{{UID: "s", Addr: "a:1", Member: policy.Member{ID: 1, Weight: 1,
+			Started: k.listed}}}}
+		e.ApplyList(now, list)
+		if got := e.Endpoints[1].Started; got != k.want {
+			t.Errorf("%s: started %v before now, want %v", name, now-got, now-k.want)
+		}
+		generation := e.Endpoints[1].Generation
+		e.clockStep = func() policy.Time { return k.step + hour }
+		e.ApplyList(now+policy.Second, list)
+		if endpoint := e.Endpoints[1]; endpoint.Started != k.want || endpoint.Generation != generation {
+			t.Errorf("%s: the same entry counts as another start after the system clock was set", name)
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -66,6 +66,8 @@
 
 	configuredInstances int // number of instances in the settings
 	liveInstances       int // number of live instances according to the peers; 0: unknown
+
+	clockStep func() policy.Time // by how much the system clock is ahead of Clock
 }
 
 // New returns an engine that does not run yet.
@@ -80,6 +82,7 @@
 		stopped:             make(chan struct{}),
 		configuredInstances: config.Settings.Instances,
 	}
+	e.clockStep = e.Clock.Step
 	e.wakeTimer.Run = func(now policy.Time) { e.Module.Woken(now) }
 	e.metricsTimer.Run = e.publishMetrics
 	e.list = newEndpointList(e)
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -269,6 +269,10 @@
 		t.Errorf("sum of the cold budgets %v; success rates: old %v, successor %v; mean latency of the successor %v",
 			cold, old.successes.rate, successor.successes.rate, successor.classes[0].meanLatency)
 	}
+	state.Endpoints[2].EjectedUntil = now - 50*Second // by the clock of a process that started before the system clock was set ahead
+	if state.ShiftTimes(51 * Second); state.Endpoints[2].EjectedUntil != now+Second || state.Endpoints[3].EjectedUntil != 0 {
+		t.Errorf("ejected until %v after now, want %v", state.Endpoints[2].EjectedUntil-now, Second)
+	}
 	now += Second // a state with more classes is ignored
 	state.MeanLatency = append(state.MeanLatency, 1)
 	other, _ := newTestBalancer(members)
--- a/policy/learnedstate.go
+++ b/policy/learnedstate.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// ShiftTimes converts the times of the state to a clock that is ahead by the given time.
+func (s *LearnedState) ShiftTimes(ahead Time) {
+	for i := range s.Endpoints {
+		if e := &s.Endpoints[i]; e.EjectedUntil > 0 {
+			e.EjectedUntil += ahead
+		}
+	}
+}
+
 // ImportState takes over the state that another instance has learned. Endpoints that are not in the list or
 // have restarted since are left out. A state with another number of classes or tenants is ignored.
 func (b *Balancer) ImportState(now Time, state LearnedState) {
