Neither an early SIGHUP nor a log without a reader ends the process

The process ended by itself, by the default action of the signal, if SIGHUP came before the configuration was read, or with SIGPIPE at the next line of the log once the reader of standard error had gone. Signals are caught now before the configuration is read, and SIGPIPE and SIGXFSZ are ignored: the write fails instead.

--- a/cmd/pepperlead/serve.go
+++ b/cmd/pepperlead/serve.go
@@ -36,6 +36,7 @@
 	record := c.Flags().String("record", "",
 		"`file` for a trace of the requests and their outcomes, for pepperlead-sim replay (default none)")
 	c.RunE = func(*cobra.Command, []string) error {
+		signals := daemon.CatchSignals()
 		config, err := daemon.Read(*path, os.Getenv)
 		if err != nil {
 			return err
@@ -46,7 +47,7 @@
 		if err != nil {
 			return err
 		}
-		return daemon.Serve(config, *path, *record, log)
+		return daemon.Serve(config, *path, *record, signals, log)
 	}
 	return c
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"os"
-	"os/signal"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -47,13 +45,9 @@
 
 // Serve runs an instance until it receives SIGTERM or SIGINT. On SIGHUP it reads the configuration again from path. If
 // record is not empty, it writes a trace to that file.
-func Serve(config Config, path, record string, log *logrus.Logger) error {
+func Serve(config Config, path, record string, signals Signals, log *logrus.Logger) error {
 	memory := config.MessageMemory
 	limitResources(&config, log)
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 
 	s := &server{config: config, log: log, operations: &adminOperations{memory: memory}}
 	defer s.close()
@@ -64,13 +58,13 @@
 	s.newProxy()
 	configs := make(chan httpproxy.Config)
 	r := reloader{path: path, current: s.config, configs: configs, stopped: s.proxy.Stopped(), log: log}
-	go r.run(reload)
+	go r.run(signals.reload)
 	for _, start := range []func() error{s.startOperations, s.startCluster, s.startMetrics, s.startCommands} {
 		if err := start(); err != nil {
 			return err
 		}
 	}
-	if err := s.proxy.Run(stop, configs); err != nil {
+	if err := s.proxy.Run(signals.stop, configs); err != nil {
 		return err
 	}
 	log.Info("end: " + strings.ReplaceAll(strings.TrimSpace(s.proxy.Report()), "\n", ", "))
