A reader of the log that stalls does not stop the proxy

The event loop writes log lines itself. If whoever reads standard error stalled, the loop stood still as soon as the pipe was full, and no request was answered.

--- a/cmd/pepperlead/main_test.go
+++ b/cmd/pepperlead/main_test.go
@@ -206,12 +206,10 @@
 	}
 }
 
-// If the directory of the process group can't be created, because $TMPDIR is missing or not writable, the program logs
-// one error and serves without hot restart.
-func TestServesWithoutAProcessGroupDirectory(t *testing.T) {
-	dir := t.TempDir()
-	program, config, addresses := filepath.Join(dir, "pepperlead"), filepath.Join(dir, "alone.toml"), [2]string{}
-	build(t, program)
+// writeConfig writes the configuration of an instance with one endpoint, and returns its path and the address for commands.
+func writeConfig(t *testing.T, dir string) (config, admin string) {
+	t.Helper()
+	var addresses [2]string
 	for i := range addresses {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -223,9 +221,31 @@
 	text := "[front.http]\nlisten = \"" + addresses[0] + "\"\n[admin]\nlisten = \"" + addresses[1] + "\"\n[[offering]]\nname = \"step\"\n" +
 		"quoted_time = \"1s\"\ncut_off = \"2s\"\nrepeats = \"reissuable\"\n[source]\nkind = \"fixed\"\n" +
 		"[[source.server]]\nid = \"a\"\naddress = \"127.0.0.1:1\"\n"
+	config = filepath.Join(dir, "alone.toml")
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	return config, addresses[1]
+}
+
+// isReady reports whether an instance becomes ready.
+func isReady(admin string) bool {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		var out bytes.Buffer
+		if run([]string{"call", "--at", admin, "ready"}, &out) == nil && strings.HasPrefix(out.String(), "OK") {
+			return true
+		}
+	}
+	return false
+}
+
+// If the directory of the process group can't be created, because $TMPDIR is missing or not writable, the program logs
+// one error and serves without hot restart.
+func TestServesWithoutAProcessGroupDirectory(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "pepperlead")
+	build(t, program)
+	config, admin := writeConfig(t, dir)
 	for _, tmp := range []string{"TMPDIR=" + config, "TMPDIR=/nowhere/at/all", "TMPDIR=/proc"} {
 		var log bytes.Buffer
 		c := exec.Command(program, "serve", "--config", config)
@@ -233,11 +253,7 @@
 		if err := c.Start(); err != nil {
 			t.Fatal(err)
 		}
-		ready := false
-		for end := time.Now().Add(5 * time.Second); !ready && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			var out bytes.Buffer
-			ready = run([]string{"call", "--at", addresses[1], "ready"}, &out) == nil && strings.HasPrefix(out.String(), "OK")
-		}
+		ready := isReady(admin)
 		c.Process.Signal(syscall.SIGTERM)
 		if err := c.Wait(); err != nil || !ready || strings.Count(log.String(), "hot restart disabled") != 1 ||
 			strings.Count(log.String(), "level=error") != 1 {
@@ -245,3 +261,51 @@
 		}
 	}
 }
+
+// Guards against a process that stops serving, or ends, because nobody reads its log or because signals come in series.
+func TestServesWhileNobodyReadsTheLog(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "pepperlead")
+	build(t, program)
+	for name, closed := range map[string]bool{"reader stalls": false, "reader has gone": true} {
+		t.Run(name, func(t *testing.T) {
+			config, admin := writeConfig(t, t.TempDir())
+			reader, writer, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer reader.Close()
+			writer.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+			io.Copy(writer, strings.NewReader(strings.Repeat("x", 1<<20))) // until the pipe is full
+			if closed {
+				reader.Close()
+			}
+			c := exec.Command(program, "serve", "--config", config)
+			c.Env, c.Stderr = append(os.Environ(), "TMPDIR="+t.TempDir()), writer
+			if err := c.Start(); err != nil {
+				t.Fatal(err)
+			}
+			writer.Close()
+			ready := isReady(admin)
+			for range 5 {
+				c.Process.Signal(syscall.SIGHUP)
+				time.Sleep(20 * time.Millisecond)
+			}
+			ready = ready && isReady(admin)
+			for range 3 {
+				c.Process.Signal(syscall.SIGTERM)
+				c.Process.Signal(syscall.SIGHUP)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- c.Wait() }()
+			select {
+			case err := <-ended:
+				if err != nil || !ready {
+					t.Errorf("exit error %v, ready %v", err, ready)
+				}
+			case <-time.After(8 * time.Second):
+				c.Process.Kill()
+				t.Error("the process did not end")
+			}
+		})
+	}
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -15,6 +16,7 @@
 	"pepperlead/internal/engine"
 	"pepperlead/internal/hotrestart"
 	"pepperlead/internal/httpproxy"
+	"pepperlead/internal/logqueue"
 	"pepperlead/internal/requestids"
 	"pepperlead/internal/trace"
 	"pepperlead/policy"
@@ -28,6 +30,8 @@
 	// StallAfter is the time without a round of the loop after which an engine refreshes its endpoint list before the
 	// next decision: the process may have been suspended, and the list may be outdated.
 	StallAfter = 400 * policy.Millisecond
+	// logFlushTime is how long the end of the process may wait for the reader of the log.
+	logFlushTime = 200 * time.Millisecond
 )
 
 var errRecordAgreedRules = errors.New(
@@ -44,8 +48,11 @@
 }
 
 // Serve runs an instance until it receives SIGTERM or SIGINT. On SIGHUP it reads the configuration again from path. If
-// record is not empty, it writes a trace to that file.
+// record is not empty, it writes a trace to that file. It logs without waiting for the reader of the log.
 func Serve(config Config, path, record string, signals Signals, log *logrus.Logger) error {
+	queue := logqueue.New(log.Out)
+	log.SetOutput(queue)
+	defer queue.Flush(logFlushTime)
 	memory := config.MessageMemory
 	limitResources(&config, log)
 
