A drain that could not be saved is saved once there is room

An operator's drain during a full disk was in force in one process only, and its successor didn't know it.

TestUnsavedDrainIsSavedOnceThereIsRoom failed before: the drain was never saved.

--- a/internal/hotrestart/processgroup.go
+++ b/internal/hotrestart/processgroup.go
@@ -56,6 +56,7 @@
 	exportState  func() []byte
 	setProcesses func(processes int)
 	unsaved      map[string]bool // changes that are not saved, in force in this process only; by uid: whether drained
+	retrying     bool            // a goroutine tries to save the unsaved changes
 	peers        map[*peerProcess]struct{}
 	sequence     uint64 // number of the last change that the peers were asked to apply
 	closed       bool
--- a/internal/hotrestart/processgroup_test.go
+++ b/internal/hotrestart/processgroup_test.go
@@ -232,3 +232,30 @@
 		t.Error("drain in a standalone group:", failure, drained)
 	}
 }
+
+// Guards against a drain that is lost: one that could not be saved at first, because the disk was full, is saved as soon as there is
+// room, and then holds in the other processes and for the next one.
+func TestUnsavedDrainIsSavedOnceThereIsRoom(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "x")
+	p, other := join(t, dir), join(t, dir)
+	temporary := filepath.Join(dir, drainedFile+".new") // in the way of the write, as a full disk is
+	os.Mkdir(temporary, 0o700)
+	os.WriteFile(filepath.Join(temporary, "full"), nil, 0o600)
+	for _, uid := range []string{"s-1", "s-2"} {
+		if err := p.SetDrained(uid, true); err == nil {
+			t.Fatal("a drain was saved without room")
+		}
+	}
+	if err := p.SetDrained("s-1", false); err == nil {
+		t.Fatal("the end of a drain was saved without room")
+	}
+	time.Sleep(saveRetryInterval + saveRetryInterval/2)
+	os.RemoveAll(temporary)
+	for end := time.Now().Add(5 * time.Second); !other.hasDrained("s-2") && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	uids, err := join(t, dir).Drained()
+	if err != nil || !slices.Equal(uids, []string{"s-2"}) || !p.hasDrained("s-2") || !other.hasDrained("s-2") {
+		t.Errorf("saved: %v, error %v; drained in this process: %v, in the other one: %v", uids, err, p.drained, other.drained)
+	}
+}
