A shutdown does not cut off long responses that are being written

Callers had long responses cut off at a planned restart: at the time limit of the shutdown the process ended, 0.3 s or more before it could be killed, though their endpoints went on writing. It waits now for responses that have begun, up to 30 s beyond the limit; those that make no progress end by their own timers.

TestShutdownLetsLongResponsesEnd failed before with an unexpected EOF.

--- a/internal/httpproxy/proxy_test.go
+++ b/internal/httpproxy/proxy_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"math/rand"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -220,6 +222,37 @@
 	}
 }
 
+// Guards against a sound response that is cut off by a shutdown: a long one that goes on after the time limit arrives whole, at a client
+// that reads at once and at one that reads slowly.
+func TestShutdownLetsLongResponsesEnd(t *testing.T) {
+	const parts, part = 8, 50 << 10
+	addr, _ := scriptedEndpoint(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", parts*part)
+		for range parts {
+			io.WriteString(c, strings.Repeat("x", part))
+			time.Sleep(200 * time.Millisecond)
+		}
+		return true
+	})
+	r, _ := startProxy(t, func(p *Config) { p.AcceptTime, p.ShutdownTime = 100*policy.Millisecond, 500*policy.Millisecond }, addr)
+	clients := []*testClient{r.client(), r.client()}
+	for _, c := range clients {
+		c.send("step/x", "", "")
+	}
+	time.Sleep(50 * time.Millisecond)
+	r.stop <- syscall.SIGTERM
+	time.Sleep(600 * time.Millisecond)
+	for i, c := range clients {
+		if i == 1 {
+			time.Sleep(500 * time.Millisecond)
+		}
+		if answer, body := c.receive(); answer.StatusCode != 200 || len(body) != parts*part {
+			t.Errorf("client %d: got status %d and %d bytes, want all %d", i, answer.StatusCode, len(body), parts*part)
+		}
+	}
+	r.shutdown()
+}
+
 // recordingSocket is a socket whose writes all succeed. It records the bytes of the last write.
 type recordingSocket struct {
 	conn     *connstate.Conn
--- a/internal/httpproxy/shutdown.go
+++ b/internal/httpproxy/shutdown.go
@@ -11,6 +11,8 @@
 const (
 	// lastWriteTime is how long after the time limit of the shutdown a client may still receive the last response.
 	lastWriteTime = 100 * policy.Millisecond
+	// maxTransferTime is how long after the time limit of the shutdown responses that have begun may go on.
+	maxTransferTime = 30 * policy.Second
 	// closeTimeout is how long Close waits for connections that are being dialled, and again for the listener.
 	closeTimeout = 50 * policy.Millisecond
 	// recentUseTime is how long a client connection stays open after its last use while other processes accept new
@@ -46,6 +48,9 @@
 	if now < p.acceptUntil {
 		return false
 	}
+	if now < shutdownBy+maxTransferTime && p.inTransfer() {
+		return false
+	}
 	acceptPending := p.acceptPending()
 	clientsLeft := p.closeIdleClients(now, now < shutdownBy)
 	if acceptPending || clientsLeft {
@@ -54,6 +59,21 @@
 	return now >= min(max(p.drainedAt, p.acceptUntil), shutdownBy+lastWriteTime)
 }
 
+// inTransfer reports whether a response that has begun is not completely written. Responses that make no progress end
+// by timers of their own.
+func (p *Proxy) inTransfer() bool {
+	for c := range p.conns.Open {
+		switch {
+		case c.Closing:
+		case c.Side == connstate.ClientSide && !c.Flushed():
+			return true
+		case c.Side == connstate.EndpointSide && c.Request != nil && c.Request.Response.Streaming:
+			return true
+		}
+	}
+	return false
+}
+
 // acceptPending reports whether there may be a client that this process must serve but the loop does not know of yet.
 func (p *Proxy) acceptPending() bool {
 	if p.sharesListener() {
