--- a/internal/httpproxy/readahead.go
+++ b/internal/httpproxy/readahead.go
@@ -16,8 +16,8 @@
 	minReadAhead = 16 << 10
 	// maxReadAhead is how many bytes of a connection are kept for later, in bytes.
 	maxReadAhead = 1 << 20
-	// readAheadShare is the part of the memory for messages, as a divisor, that has to be free for reading ahead.
-	readAheadShare = 2
+	// reservedShare is the part of the memory for messages, as a divisor, that has to be free for reading ahead.
+	reservedShare = 4
 )
 
 // lookAhead reads a client's input that is not wanted yet, and closes the connection if the client has left.
@@ -30,7 +30,7 @@
 	if c.Socket.Unread() < minReadAhead {
 		return
 	}
-	for c.Socket.Ahead() < maxReadAhead && p.buffers.InUse() < p.buffers.Limit/readAheadShare {
+	for c.Socket.Ahead() < maxReadAhead && p.buffers.InUse() < p.buffers.Limit-p.buffers.Limit/reservedShare {
 		err := c.Socket.ReadAhead(p.readBuffer)
 		switch {
 		case err == nil:
