Soak: times of answers by the kernel, one replaced process at a time

- An answer counted as late by when its client, in a busy process, came to read it: up to 50 ms after the proxy had given up its attempt.
- Two faults at one sidecar could start two processes at once, of which one could not listen and ended with status 1.
Such faults wait for each other now.
- The second copy of a response is known to have come too late if its write was.
- A response that outlasts its process, killed as late as is allowed, is no cut.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -245,7 +245,7 @@
 		a.none = !a.timedOut
 		return a
 	}
-	a.firstByte = time.Now()
+	a.firstByte = latestArrival(conn.Conn)
 	response, err := http.ReadResponse(conn.in, &http.Request{Method: r.class.method()})
 	if err != nil {
 		a.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
@@ -253,7 +253,7 @@
 	}
 	a.status = response.StatusCode
 	a.body, err = c.readBody(r, conn, response, giveUp)
-	a.lastByte = time.Now()
+	a.lastByte = latestArrival(conn.Conn)
 	a.complete = err == nil
 	a.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
 	a.reusable = a.complete && !response.Close
@@ -310,18 +310,19 @@
 	case a.none && a.unwritten:
 		r.result = unsentResult
 	case !a.complete:
-		a.classifyIncomplete(c.run.judge, r)
+		a.classifyIncomplete(c, r)
 	case a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable:
 		r.result = refusedResult
 	case a.status != http.StatusOK:
 		r.result = failedResult
 	default:
 		r.result = servedResult
-		if !bytes.Equal(a.body, responseBody(r.id, r.wants.Size)) {
+		if !bytes.Equal(a.body, responseBody(r.id, r.wants.Size)) && !c.run.judge.isLateCopy(a.body) {
 			c.run.judge.violateLocked(RuleForeign, r.answeredAt, "%d bytes that no server made: %s\n  %s",
 				len(a.body), c.run.judge.describe(r), c.run.judge.describeResponse(a.body))
 		}
 	}
+	r.arrivedAt = timely
 	if a.complete && timely.After(r.due()) && !r.sentAt.IsZero() {
 		c.run.judge.late = append(c.run.judge.late, r)
 	}
@@ -329,17 +330,21 @@
 }
 
 // classifyIncomplete sets the result of a request whose answer is not complete. The judge's lock is held.
-func (a *answer) classifyIncomplete(j *Judge, r *request) {
+func (a *answer) classifyIncomplete(c *client, r *request) {
 	r.result = lostResult
 	if a.status != http.StatusOK {
 		return
 	}
+	if c.sidecar.endedSince(r.sentAt) {
+		r.result = brokenResult // a response that lasts longer than its process may live
+		return
+	}
 	for _, at := range r.attempts {
 		if r.wants.Ending == hangMidEnding || r.wants.Ending == resetMidEnding || at.server.hasStopped() {
 			r.result = brokenResult // through no fault of the sidecar, and the client can tell
 			return
 		}
 	}
-	j.violateLocked(RuleCut, r.answeredAt, "%s", j.describe(r))
+	c.run.judge.violateLocked(RuleCut, r.answeredAt, "%s", c.run.judge.describe(r))
 	r.result = brokenResult
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,8 +16,23 @@
 	listDelay = 400 * time.Millisecond
 )
 
+// replacesProcess reports whether the fault ends the process of a sidecar and starts another one. Only one such fault
+// happens to a sidecar at a time.
+func (k FaultKind) replacesProcess() bool {
+	switch k {
+	case Kill, KillSeries, Restart, TermSeries, Upgrade:
+		return true
+	case Reload, Replace, ServerRestart, ServerDrain:
+	}
+	return false
+}
+
 // apply makes a fault happen, to the sidecar if it concerns a process.
 func (r *Run) apply(f Fault, s *sidecar) {
+	if f.Kind.replacesProcess() {
+		s.changing.Lock()
+		defer s.changing.Unlock()
+	}
 	switch f.Kind {
 	case Kill:
 		s.kill()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -84,8 +85,9 @@
 	result     result
 	status     int
 	firstByte  time.Time
-	answeredAt time.Time
-	bytes      int // bytes of the response's body that the client has read
+	answeredAt time.Time // when its client had read the answer
+	arrivedAt  time.Time // when the part of the answer arrived that has to be in time
+	bytes      int       // bytes of the response's body that the client has read
 	attempts   []*attempt
 }
 
@@ -100,6 +102,7 @@
 	ranAt   time.Time     // when its last byte was read; zero: never
 	endedAt time.Time     // when the server had answered, or noticed that the connection had ended; zero: not yet
 	gave    int           // bytes of the response's body that were written
+	tooLate bool          // the server wrote the response once more, later than a copy can be recognized
 	cutAt   time.Time     // when the sidecar closed the connection before the response was complete; zero: it did not
 }
 
@@ -184,7 +187,7 @@
 	if len(j.late) <= max(minLate, int(lateShare*float64(j.answered))) {
 		return
 	}
-	lateness := func(r *request) time.Duration { return r.answeredAt.Sub(r.due()) }
+	lateness := func(r *request) time.Duration { return r.arrivedAt.Sub(r.due()) }
 	sort.Slice(j.late, func(a, b int) bool { return lateness(j.late[a]) > lateness(j.late[b]) })
 	for _, r := range j.late[:min(len(j.late), maxLateNamed)] {
 		j.violateLocked(RuleLate, r.answeredAt, "%d of %d answers, this one by %v: %s",
@@ -252,6 +255,13 @@
 	j.violateLocked(RuleDuplicate, repeat.ranAt, "ran again: %s", j.describe(r))
 }
 
+// isLateCopy reports whether a response is that of another request, which its server wrote once more too late.
+func (j *Judge) isLateCopy(body []byte) bool {
+	id, _, _ := bytes.Cut(body, []byte{'\n'})
+	r := j.requests[string(id)]
+	return r != nil && slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.tooLate })
+}
+
 // describeResponse returns what is known of the request to which a server made this response.
 func (j *Judge) describeResponse(body []byte) string {
 	id, _, _ := bytes.Cut(body, []byte{'\n'})
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -311,7 +311,13 @@
 func (e *exchange) writeCopy(response string) bool {
 	began := time.Now()
 	time.Sleep(e.wants.CopyAfter)
-	return time.Since(began) <= maxCopyDelay && e.write(response)
+	if time.Since(began) > maxCopyDelay {
+		return false
+	}
+	e.server.judge.update(func() { e.attempt.tooLate = true }) // unless the write is soon over
+	written := e.write(response)
+	e.server.judge.update(func() { e.attempt.tooLate = time.Since(began) > maxCopyDelay })
+	return written
 }
 
 // head returns the head of a response with a body of the given size.
--- a/internal/soak/sidecar.go
+++ b/internal/soak/sidecar.go
@@ -39,10 +39,13 @@
 	dir     string
 	shared  *os.File // the listener that its processes inherit; nil: each process listens by itself
 
+	changing sync.Mutex // held while a fault replaces its process
+
 	mu       sync.Mutex
 	current  *process
 	closedTo bool      // no new connections are made to it: it is about to end
 	killedAt time.Time // when its only process was last killed
+	endedAt  time.Time // when a process was last killed that had not ended long enough after SIGTERM
 }
 
 // process is one process of a sidecar.
@@ -249,6 +252,9 @@
 	select {
 	case <-p.exited:
 	case <-kill:
+		s.mu.Lock()
+		s.endedAt = time.Now()
+		s.mu.Unlock()
 		p.signal(syscall.SIGKILL, true)
 		<-p.exited
 	}
@@ -261,6 +267,13 @@
 	return s.current != nil && !s.closedTo
 }
 
+// endedSince reports whether a process was killed after a time, as late after its SIGTERM as is allowed.
+func (s *sidecar) endedSince(at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endedAt.After(at)
+}
+
 // killedSince reports whether the sidecar's process was killed after a time.
 func (s *sidecar) killedSince(at time.Time) bool {
 	s.mu.Lock()
