--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -43,7 +43,6 @@
 	RuleLeft      Rule = "after-left" // an attempt began after its client had left
 	RuleTimeout   Rule = "timeout"    // an attempt told its server more time than its client had
 	RuleDrain     Rule = "drain"      // an attempt began at a server after the grace of its drain
-	RuleCold      Rule = "cold"       // a server that had just started was sent too much
 	RuleProcess   Rule = "process"    // a process ended by itself, was not ready in time or passed a limit
 )
 
--- a/policy/dedupwindow.go
+++ b/policy/dedupwindow.go
@@ -1,11 +1,5 @@
 package policy
 
-// Longest times until a change of the list is known.
-const (
-	pushedListDelay = 2 * Second
-	polledListDelay = 6 * Second
-)
-
 // A keyed request that may have run may be sent again within its group, because the endpoints of a group
 // recognise a repeat and drop it. They do so only for the window of the request's class, so the repeat must
 // have arrived completely by then: an endpoint runs a request when it has received the last byte.
@@ -64,35 +58,6 @@
 	return now < b.repeatBy(r, e)
 }
 
-// An endpoint that closes all connections, or can't be connected to, may have gone. What comes up at its
-// address can be an endpoint of another group, until the list tells.
-
-// ConnectionsLost notes that the endpoint has closed all connections to it.
-func (b *Balancer) ConnectionsLost(now Time, id EndpointID) {
-	if index, known := b.table.indexes[id]; known {
-		b.doubt(now, &b.table.endpoints[index])
-	}
-}
-
-// listDelay returns how long the list may take to tell that an endpoint has gone.
-func (b *Balancer) listDelay() Time {
-	if b.settings.PollList {
-		return polledListDelay
-	}
-	return pushedListDelay
-}
-
-// doubt notes that the endpoint may have gone.
-func (b *Balancer) doubt(now Time, e *endpoint) {
-	if !e.inDoubt(now) {
-		e.doubtedAt = now
-	}
-	e.doubtedUntil = now + b.listDelay()
-}
-
-// inDoubt reports whether another endpoint may have come up at the endpoint's address.
-func (e *endpoint) inDoubt(now Time) bool { return now < e.doubtedUntil && now >= e.doubtedAt }
-
 // ArriveBy returns the time before which the request's latest attempt must have arrived at its endpoint
 // completely. limited is false if the attempt may arrive at any time. The settings may have changed since the
 // attempt was decided on; if they no longer allow it at all, the time has passed already.
