--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -133,17 +133,26 @@
 	return freeport.ChooseAddress("127.0.0.1")
 }
 
+// maxListenTries is how many addresses are tried for a server: a free one can be taken before it is used.
+const maxListenTries = 4
+
 // newServer starts a server at an address, or at a new one if it is empty.
 func (r *Run) newServer(address string, booted time.Time) (*server, error) {
 	n := int(r.number.Add(1))
-	if address == "" {
-		var err error
-		if address, err = freeport.ChooseAddress(r.ip(100)); err != nil {
+	uid, zone, cell := fmt.Sprintf("s-%04d", n), [...]string{"a", "b"}[n%2], n%4
+	if address != "" {
+		return startServer(r.judge, uid, address, zone, cell, booted)
+	}
+	for tries := 1; ; tries++ {
+		address, err := freeport.ChooseAddress(r.ip(100))
+		if err != nil {
 			return nil, err
 		}
+		started, err := startServer(r.judge, uid, address, zone, cell, booted)
+		if err == nil || tries == maxListenTries {
+			return started, err
+		}
 	}
-	zone := [...]string{"a", "b"}[n%2]
-	return startServer(r.judge, fmt.Sprintf("s-%04d", n), address, zone, n%4, booted)
 }
 
 // play lets clients, crowds and faults act until the end of the plan.
