Idle clients are closed while a shutdown waits for long responses

They stayed open until the last response had ended, and a request that they sent after the time limit could only be rejected. TestShutdownLetsLongResponsesEnd now looks for that, too: it failed without the change.

--- a/internal/httpproxy/proxy_test.go
+++ b/internal/httpproxy/proxy_test.go
@@ -239,9 +239,14 @@
 	for _, c := range clients {
 		c.send("step/x", "", "")
 	}
+	idle := r.client()
 	time.Sleep(50 * time.Millisecond)
 	r.stop <- syscall.SIGTERM
 	time.Sleep(600 * time.Millisecond)
+	idle.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("an idle client was not disconnected: %v", err)
+	}
 	for i, c := range clients {
 		if i == 1 {
 			time.Sleep(500 * time.Millisecond)
--- a/internal/httpproxy/shutdown.go
+++ b/internal/httpproxy/shutdown.go
@@ -48,14 +48,14 @@
 	if now < p.acceptUntil {
 		return false
 	}
-	if now < shutdownBy+maxTransferTime && p.inTransfer() {
-		return false
-	}
 	acceptPending := p.acceptPending()
 	clientsLeft := p.closeIdleClients(now, now < shutdownBy)
 	if acceptPending || clientsLeft {
 		p.drainedAt = now + reconnectTime
 	}
+	if now < shutdownBy+maxTransferTime && p.inTransfer() {
+		return false
+	}
 	return now >= min(max(p.drainedAt, p.acceptUntil), shutdownBy+lastWriteTime)
 }
 
