A request that was rejected can be sent again with its id

A keyed request that any endpoint may repeat is rejected (503, which says that sending it again is harmless) also if it may have run. Since ids are remembered, its client got a 409 when it did send it again. The id of a rejected request is released now.

TestRequestSentAgainRunsOnce has a case for it, 409 in both processes before; its keyed class has the group of all endpoints now, without which a request that may have run is never rejected.

--- a/internal/connstate/request.go
+++ b/internal/connstate/request.go
@@ -14,6 +14,7 @@
 	ClaimedID  uint64 // hash of the id that was claimed in the table of request ids; set if Claimed
 	Claimed    bool
 	MayHaveRun bool // an endpoint may have run the request, or may yet
+	Rejected   bool // the client was told that it may send the request again
 
 	Client         *Conn       // nil once the request is answered or the client has left
 	CloseAfter     bool        // the client's connection is closed after the response
--- a/internal/httpproxy/admission.go
+++ b/internal/httpproxy/admission.go
@@ -130,11 +130,12 @@
 	return incoming.claimed
 }
 
-// releaseID has the id of a request that ends remembered from now on, or forgotten if the request has surely not run.
+// releaseID has the id of a request that ends remembered from now on. It is forgotten if the request has surely not
+// run, or was rejected: its client was told that it may send it again.
 func (p *Proxy) releaseID(r *connstate.Request) {
 	switch {
 	case !r.Claimed:
-	case r.MayHaveRun:
+	case r.MayHaveRun && !r.Rejected:
 		p.requestIDs.Renew(r.ClaimedID)
 	default:
 		p.requestIDs.Release(r.ClaimedID)
--- a/internal/httpproxy/limits_test.go
+++ b/internal/httpproxy/limits_test.go
@@ -17,6 +17,7 @@
 	"pepperlead/internal/connstate"
 	"pepperlead/internal/epoll"
 	"pepperlead/internal/requestids"
+	"pepperlead/policy"
 )
 
 // With few descriptors all clients are still answered: connections that were idle for long are closed, and while too many are open each
@@ -186,6 +187,9 @@
 			if p.RequestIDs, err = requestids.Open(path); err != nil {
 				t.Fatal(err)
 			}
+			for i := range p.Settings.Classes {
+				p.Settings.Classes[i].Group = policy.GroupAll // a keyed request may be rejected although it may have run
+			}
 		}, endpoint.Addr().String())
 	}
 	for _, k := range []struct {
@@ -201,6 +205,7 @@
 		{"once", "reset", false, 409, 1},
 		{"once", "away", false, 503, 2},
 		{"step", "slow", false, 200, 2},
+		{"note", "silent", false, 503, 2},
 	} {
 		for i, other := range proxies {
 			id := fmt.Sprintf("%s-%s-%v-%d", k.class, k.behaviour, k.leaves, i)
--- a/internal/httpproxy/responses.go
+++ b/internal/httpproxy/responses.go
@@ -75,6 +75,7 @@
 	p.noteEnd(r, "request rejected")
 	if c := p.detachClient(now, r, engine.AnswerRejected); c != nil {
 		p.Counters.Rejected++
+		r.Rejected = true
 		response := localResponse{http.StatusServiceUnavailable, "turned back\n", retryAfter}
 		p.respond(now, c, response, r.CloseAfter)
 	}
