--- a/review/standin-2/agent.go
+++ b/review/standin-2/agent.go
@@ -78,6 +78,16 @@
 	return a.rev
 }
 
+// add adds an endpoint that started at a moment.
+func (a *agent) add(t target, started time.Time) {
+	t.Boot = started.UnixMilli()
+	a.update(func() {
+		a.rev++
+		a.targets = append(a.targets, t)
+		a.revOf[t.UID] = a.rev
+	})
+}
+
 func (a *agent) setSilent(silent bool) { a.update(func() { a.silent = silent }) }
 
 // snapshot returns the whole list.
@@ -114,6 +124,9 @@
 		if !silent && (!watch || a.rev > from || over) {
 			doc := listDocument{Rev: a.rev, All: !watch, Targets: []target{}}
 			for _, t := range a.targets {
+				if !watch && t.State == "Gone" {
+					continue
+				}
 				if !watch || a.revOf[t.UID] > from {
 					doc.Targets = append(doc.Targets, t)
 				}
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -189,3 +189,17 @@
 	}
 	return n
 }
+
+// waitHealthy waits until a sidecar answers 200 at /_health.
+func waitHealthy(address string, within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		answer, err := http.Get("http://" + address + "/_health")
+		if err == nil {
+			_ = answer.Body.Close()
+			if answer.StatusCode == 200 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -38,7 +38,11 @@
 }
 
 func startEndpoint(s *scene, uid, zone string, pod int, work time.Duration) *endpoint {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return startEndpointAt(s, "127.0.0.1:0", uid, zone, pod, work)
+}
+
+func startEndpointAt(s *scene, address, uid, zone string, pod int, work time.Duration) *endpoint {
+	l, err := net.Listen("tcp", address)
 	must(err)
 	e := &endpoint{s: s, uid: uid, address: l.Addr().String(), zone: zone, pod: pod, work: work, listen: l}
 	e.http = &http.Server{Handler: http.HandlerFunc(e.serve)}
@@ -50,6 +54,9 @@
 	return target{UID: e.uid, Endpoint: e.address, Zone: e.zone, Model: "standard", Pod: e.pod, State: "Ready", Weight: 1}
 }
 
+// die ends the endpoint's process: its connections end, and its address is free.
+func (e *endpoint) die() { _ = e.http.Close() }
+
 // drain makes the endpoint finish what it has and turn away what comes later than the grace.
 func (e *endpoint) drain() {
 	e.mu.Lock()
