--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -156,8 +156,8 @@
 			time.Sleep(time.Duration(n) * pause / time.Duration(clients))
 			for {
 				r := one.send(classes[rand.IntN(len(classes))])
-				s.logAt(r.sentAt, "client %d: %s %s: status %d after %dms, %q, error %v", n, r.class, r.id, r.status,
-					r.after.Milliseconds(), r.body, r.err)
+				s.logAt(r.sentAt, "client %d: %s %s: status %d after %dms, %d bytes, %.40q, error %v", n, r.class, r.id, r.status,
+					r.after.Milliseconds(), len(r.body), r.body, r.err)
 				c.mu.Lock()
 				c.results = append(c.results, r)
 				c.mu.Unlock()
