--- a/review/standin-2/chunked.go
+++ b/review/standin-2/chunked.go
@@ -9,8 +9,11 @@
 	"time"
 )
 
-// longAnswer is the size of an answer's body: over 64 KiB, and far under 32 MB.
-const longAnswer = 80 << 10
+// An answer's body: a little over 64 KiB, and far under 32 MB, written in pieces.
+const (
+	longAnswer = 66_000
+	piece      = 2_000
+)
 
 // wholeAnswers are the requests to which an endpoint has given a whole answer.
 type wholeAnswers struct {
@@ -18,7 +21,7 @@
 	of map[string]int // by request id: how many
 }
 
-// chunkedAnswers: endpoints give answers of 80 KiB in chunks, whole and at once.
+// chunkedAnswers: endpoints give answers of 66,000 bytes in chunks, whole and at once.
 func chunkedAnswers(s *scene) {
 	given := wholeAnswers{of: map[string]int{}}
 	var targets []target
@@ -27,12 +30,16 @@
 		e.answer = func(w http.ResponseWriter, r *http.Request, _ []byte) bool {
 			time.Sleep(20 * time.Millisecond)
 			id := r.Header.Get("X-Request-ID")
-			body := []byte("made by " + e.uid + " for " + id + strings.Repeat(".", longAnswer))
+			body := []byte("made by " + e.uid + " for " + id)
+			body = append(body, strings.Repeat(".", longAnswer-len(body))...)
 			if !s.trouble {
 				w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 			}
-			_, _ = w.Write(body[:len(body)/2]) // without a length the server sends these as chunks
-			if _, err := w.Write(body[len(body)/2:]); err == nil {
+			var err error
+			for rest := body; len(rest) > 0 && err == nil; rest = rest[min(piece, len(rest)):] {
+				_, err = w.Write(rest[:min(piece, len(rest))]) // without a length the server sends chunks
+			}
+			if err == nil {
 				given.mu.Lock()
 				given.of[id]++
 				given.mu.Unlock()
@@ -59,7 +66,7 @@
 	defer given.mu.Unlock()
 	for _, r := range results {
 		statuses[r.status]++
-		if r.status == http.StatusOK && len(r.body) > longAnswer && given.of[r.id] > 0 {
+		if r.status == http.StatusOK && len(r.body) == longAnswer && given.of[r.id] > 0 {
 			forwarded++
 		}
 	}
