--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -8,7 +8,7 @@
 )
 
 func main() {
-	cases := map[string]func(*scene){"upgrade": upgradeDuringOutage, "replaced": replacedAtItsAddress, "memory": manyLongBodies, "chunked": chunkedAnswers, "leave": clientsLeave}
+	cases := map[string]func(*scene){"upgrade": upgradeDuringOutage, "replaced": replacedAtItsAddress, "memory": manyLongBodies, "chunked": chunkedAnswers, "leave": clientsLeave, "unread": heldUnread, "files": drainBesideSpoiltFile}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE")
 		os.Exit(exitUnable)
